--- /dev/null
+++ b/cmd/fescueshed/main.go
@@ -0,0 +1,54 @@
+// Command fescueshed is the balancer and the tool of its operators.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kong"
+	"github.com/rotisserie/eris"
+	"k8s.io/klog/v2"
+
+	"github.com/fescueshed/fescueshed/internal/version/hujson"
+)
+
+type commands struct {
+	Balancer balancerCommand `cmd:"" help:"Run a balancer until SIGTERM, which ends it gracefully."`
+	Bundle   bundleCommands  `cmd:"" help:"Prepare, approve and roll bundles."`
+	Key      keyCommands     `cmd:"" help:"Make and show operators' keys."`
+	Status   statusCommand   `cmd:"" help:"Show what a balancer knows: members, upstreams, load, drops."`
+	Check    checkCommand    `cmd:"" help:"Check settings and bundles and print all findings."`
+}
+
+const (
+	exitFailure  = 1
+	exitFindings = 2
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	var c commands
+	k := kong.Parse(&c,
+		kong.Name("fescueshed"),
+		kong.Description("A layer-4 load balancer that keeps flows alive through planned change."),
+		kong.UsageOnError(),
+		kong.BindTo(ctx, (*context.Context)(nil)))
+	err := k.Run()
+	klog.Flush()
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(exitCode(err))
+	}
+}
+
+func exitCode(err error) int {
+	var findings *hujson.FindingsError
+	if eris.As(err, &findings) {
+		return exitFindings
+	}
+	return exitFailure
+}
--- /dev/null
+++ b/cmd/try/failure.go
@@ -0,0 +1,155 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"sort"
+	"syscall"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// failure is something that goes wrong, or is changed as planned, while callers
+// work.
+type failure struct {
+	what string
+	run  func(ctx context.Context, t *trial) error
+}
+
+// fabricLag is how long the fabric goes on sending to a balancer that is gone
+// or leaving.
+const fabricLag = time.Second
+
+func failures() map[string]failure {
+	return map[string]failure{
+		"balancer-kill":        {"a balancer dies without notice", killOne},
+		"two-kills":            {"two balancers of different zones die at once", killTwo},
+		"balancer-restart-all": {"every balancer is replaced, one after the other, gracefully", restartAll},
+		"balancer-join":        {"a new balancer joins", join},
+		"balancer-freeze":      {"a balancer is paused for four seconds and goes on", freeze},
+		"platform-down":        {"the platform's service is down from then on", platformDown},
+	}
+}
+
+func listFailures() {
+	table := failures()
+	names := make([]string, 0, len(table))
+	for n := range table {
+		names = append(names, n)
+	}
+	sort.Strings(names)
+	for _, n := range names {
+		fmt.Printf("%-22s %s\n", n, table[n].what)
+	}
+}
+
+const settleTime = 3 * time.Second
+
+func pause(ctx context.Context, d time.Duration) error {
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-time.After(d):
+		return nil
+	}
+}
+
+func killOne(ctx context.Context, t *trial) error {
+	return t.kill(ctx, 1)
+}
+
+func killTwo(ctx context.Context, t *trial) error {
+	return t.kill(ctx, 1, 2)
+}
+
+// kill ends balancers without notice. The fabric learns of it later.
+func (t *trial) kill(ctx context.Context, numbers ...int) error {
+	if err := pause(ctx, settleTime); err != nil {
+		return err
+	}
+	for _, n := range numbers {
+		t.say("%s is killed", t.balancers[n].name)
+		t.balancers[n].signal(syscall.SIGKILL)
+	}
+	if err := pause(ctx, fabricLag); err != nil {
+		return err
+	}
+	for _, n := range numbers {
+		if err := t.setRouted(ctx, t.balancers[n], false); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// restartAll replaces each balancer: it leaves, the fabric stops sending to it,
+// it ends, and a new process takes its place.
+func restartAll(ctx context.Context, t *trial) error {
+	if err := pause(ctx, settleTime); err != nil {
+		return err
+	}
+	for _, b := range t.balancers {
+		began := time.Now()
+		b.signal(syscall.SIGTERM)
+		if err := pause(ctx, fabricLag); err != nil {
+			return err
+		}
+		if err := t.setRouted(ctx, b, false); err != nil {
+			return err
+		}
+		if err := b.wait(leaveLimit); err != nil {
+			return eris.Wrap(err, "graceful shutdown")
+		}
+		left := time.Since(began)
+		if err := b.start(); err != nil {
+			return err
+		}
+		if err := awaitReady(ctx, b); err != nil {
+			return err
+		}
+		if err := t.setRouted(ctx, b, true); err != nil {
+			return err
+		}
+		t.say("%s is replaced; it left within %.1fs", b.name, left.Seconds())
+	}
+	return nil
+}
+
+func join(ctx context.Context, t *trial) error {
+	if err := pause(ctx, settleTime); err != nil {
+		return err
+	}
+	b, err := t.addBalancer(ctx, len(t.balancers))
+	if err != nil {
+		return err
+	}
+	if err := awaitReady(ctx, b); err != nil {
+		return err
+	}
+	t.say("%s joined", b.name)
+	return t.setRouted(ctx, b, true)
+}
+
+const freezeTime = 4 * time.Second
+
+func freeze(ctx context.Context, t *trial) error {
+	if err := pause(ctx, settleTime); err != nil {
+		return err
+	}
+	b := t.balancers[0]
+	t.say("%s is paused", b.name)
+	b.signal(syscall.SIGSTOP)
+	err := pause(ctx, freezeTime)
+	b.signal(syscall.SIGCONT)
+	t.say("%s goes on", b.name)
+	return err
+}
+
+func platformDown(ctx context.Context, t *trial) error {
+	if err := pause(ctx, settleTime); err != nil {
+		return err
+	}
+	t.say("the platform is down")
+	return t.platform.call(ctx, methodFaults, struct{ Down bool }{true}, nil)
+}
--- /dev/null
+++ b/cmd/try/run.go
@@ -0,0 +1,107 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+type runCommand struct {
+	Deployment string        `help:"Whose sizes to use." enum:"kandy,pfarrbrief" default:"kandy"`
+	Balancers  int           `help:"How many balancers to start, spread over the zones." default:"6"`
+	Seconds    int           `help:"How long callers work." default:"12"`
+	Seed       uint64        `help:"Seed of the callers' choices." default:"1"`
+	Failure    []string      `help:"Failures to bring about, by name; see --list-failures."`
+	ListFails  bool          `name:"list-failures" help:"List the failures and end."`
+	JSON       bool          `name:"json" help:"Print the outcome as JSON in one last line."`
+	Binary     string        `help:"The balancer's program; built from this module if not given." type:"path"`
+	Keep       bool          `help:"Keep the directory with logs and settings."`
+	Callers    int           `help:"Callers of the first service; 0 takes the deployment's." default:"0"`
+	Period     time.Duration `help:"Mean time between a caller's requests." default:"600ms"`
+}
+
+const (
+	minBalancers = 3
+	maxBalancers = 60
+)
+
+// Run runs one trial.
+func (c *runCommand) Run(ctx context.Context) error {
+	if c.ListFails {
+		listFailures()
+		return nil
+	}
+	if c.Balancers < minBalancers || c.Balancers > maxBalancers {
+		return fmt.Errorf("--balancers is %d, want %d to %d", c.Balancers, minBalancers, maxBalancers)
+	}
+	fails, err := findFailures(c.Failure)
+	if err != nil {
+		return err
+	}
+	dir, err := os.MkdirTemp("", "fescueshed-try-")
+	if err != nil {
+		return eris.Wrap(err, "try")
+	}
+	if c.Keep {
+		fmt.Println("Logs and settings are kept in", dir)
+	} else {
+		defer func() { _ = os.RemoveAll(dir) }()
+	}
+	t := &trial{opts: c, dir: dir, deploy: deployments()[c.Deployment]}
+	defer t.stop()
+	if err := t.start(ctx); err != nil {
+		return err
+	}
+	if err := t.work(ctx, fails); err != nil {
+		return err
+	}
+	return t.finish(ctx)
+}
+
+// finish collects the ledgers, prints the report and returns an error if a
+// promise was broken.
+func (t *trial) finish(ctx context.Context) error {
+	r, broken, err := t.collect(ctx)
+	if err != nil {
+		return err
+	}
+	t.say("%d requests: %d answered, %d refused as not run, %d with unknown outcome, %d without any answer",
+		r.Requests, r.Answered, r.Refused, r.Unknown, r.TimedOut)
+	for _, b := range broken {
+		t.say("broken: %s", b)
+	}
+	printReport(&r)
+	if t.opts.JSON {
+		b, err := json.Marshal(r)
+		if err != nil {
+			return eris.Wrap(err, "try")
+		}
+		fmt.Printf("%s\n", b)
+	}
+	if !r.Kept() {
+		return eris.New("a promise was broken")
+	}
+	return nil
+}
+
+func (t *trial) say(format string, args ...any) {
+	fmt.Printf("%6.1fs  %s\n", time.Since(t.began).Seconds(), fmt.Sprintf(format, args...))
+}
+
+func findFailures(names []string) ([]failure, error) {
+	table := failures()
+	var out []failure
+	for _, n := range names {
+		f, ok := table[strings.TrimSpace(n)]
+		if !ok {
+			return nil, fmt.Errorf("no failure is named %q; --list-failures lists them", n)
+		}
+		out = append(out, f)
+	}
+	return out, nil
+}
--- /dev/null
+++ b/cmd/try/standin.go
@@ -0,0 +1,141 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/fescueshed/fescueshed/internal/standin/caller"
+	"github.com/fescueshed/fescueshed/internal/standin/fabric"
+	"github.com/fescueshed/fescueshed/internal/standin/jsonrpc"
+	"github.com/fescueshed/fescueshed/internal/standin/ledger"
+	"github.com/fescueshed/fescueshed/internal/standin/platform"
+	"github.com/fescueshed/fescueshed/internal/standin/upstream"
+	platformclient "github.com/fescueshed/fescueshed/internal/version/platform"
+)
+
+// Methods of the stand-in processes.
+const (
+	methodBalancers = "Balancers.Set"
+	methodHosts     = "Hosts.Set"
+	methodFaults    = "Faults.Set"
+	methodLedger    = "Ledger.Get"
+	methodFinish    = "Ledger.Finish"
+	methodCounts    = "Counts.Get"
+	methodReady     = "Ready"
+)
+
+// standInCommand runs one stand-in until its standard input ends, so that none
+// outlives the trial.
+type standInCommand struct {
+	Kind   string `arg:"" enum:"platform,fabric,upstream,caller" help:"Which stand-in."`
+	Config string `arg:"" help:"Its configuration as JSON."`
+}
+
+// Run runs the stand-in.
+func (c *standInCommand) Run(ctx context.Context) error {
+	start := map[string]func([]byte) (map[string]jsonrpc.Method, func(), error){
+		"platform": startPlatform,
+		"fabric":   startFabric,
+		"upstream": startUpstream,
+		"caller":   startCaller,
+	}[c.Kind]
+	methods, stop, err := start([]byte(c.Config))
+	if err != nil {
+		return err
+	}
+	defer stop()
+	methods[methodReady] = jsonrpc.Typed(func(context.Context, jsonrpc.None) (jsonrpc.None, error) {
+		return jsonrpc.None{}, nil
+	})
+	jsonrpc.Serve(ctx, os.Stdin, os.Stdout, methods)
+	return nil
+}
+
+func decodeConfig[T any](src []byte) (T, error) {
+	var cfg T
+	return cfg, eris.Wrap(json.Unmarshal(src, &cfg), "configuration")
+}
+
+// set makes a method of a function that returns nothing.
+func set[P any](f func(P)) jsonrpc.Method {
+	return jsonrpc.Typed(func(_ context.Context, p P) (jsonrpc.None, error) {
+		f(p)
+		return jsonrpc.None{}, nil
+	})
+}
+
+// get makes a method of a function without parameters.
+func get[R any](f func() R) jsonrpc.Method {
+	return jsonrpc.Typed(func(context.Context, jsonrpc.None) (R, error) { return f(), nil })
+}
+
+type platformConfig struct {
+	Address netip.AddrPort
+}
+
+const readHeaderTimeout = 5 * time.Second
+
+func startPlatform(src []byte) (map[string]jsonrpc.Method, func(), error) {
+	cfg, err := decodeConfig[platformConfig](src)
+	if err != nil {
+		return nil, nil, err
+	}
+	s := platform.New()
+	l, err := net.Listen("tcp", cfg.Address.String())
+	if err != nil {
+		return nil, nil, eris.Wrap(err, "stand-in platform")
+	}
+	srv := &http.Server{Handler: s, ReadHeaderTimeout: readHeaderTimeout}
+	go func() { _ = srv.Serve(l) }()
+	return map[string]jsonrpc.Method{
+		methodHosts:  set(func(h []platformclient.Host) { s.SetHosts(h) }),
+		methodFaults: set(s.SetFaults),
+		methodCounts: get(s.Counts),
+	}, func() { _ = srv.Close() }, nil
+}
+
+func startFabric(src []byte) (map[string]jsonrpc.Method, func(), error) {
+	cfg, err := decodeConfig[fabric.Config](src)
+	if err != nil {
+		return nil, nil, err
+	}
+	f, stop, err := fabric.New(cfg)
+	if err != nil {
+		return nil, nil, err
+	}
+	return map[string]jsonrpc.Method{methodBalancers: set(f.Spray.Set)}, stop, nil
+}
+
+func startUpstream(src []byte) (map[string]jsonrpc.Method, func(), error) {
+	cfg, err := decodeConfig[upstream.Config](src)
+	if err != nil {
+		return nil, nil, err
+	}
+	u, stop, err := upstream.New(cfg)
+	if err != nil {
+		return nil, nil, err
+	}
+	return map[string]jsonrpc.Method{
+		methodBalancers: set(u.Spray.Set),
+		methodLedger:    get(u.Ledger),
+	}, stop, nil
+}
+
+func startCaller(src []byte) (map[string]jsonrpc.Method, func(), error) {
+	cfg, err := decodeConfig[caller.Config](src)
+	if err != nil {
+		return nil, nil, err
+	}
+	g, stop := caller.New(cfg)
+	return map[string]jsonrpc.Method{
+		methodLedger: get(g.Ledger),
+		methodFinish: get(func() ledger.Caller { return g.Finish() }),
+	}, stop, nil
+}
--- /dev/null
+++ b/internal/connection/caller/home.go
@@ -0,0 +1,200 @@
+package caller
+
+import (
+	"github.com/fescueshed/fescueshed/internal/connection/geneve"
+	"github.com/fescueshed/fescueshed/internal/connection/upstream"
+	"github.com/fescueshed/fescueshed/internal/request/ip"
+	"github.com/fescueshed/fescueshed/internal/version/bundle"
+)
+
+// home handles a packet at the daemon that decides for its flow.
+func (e *Engine) home(w *packetWork) Cause {
+	if w.answer {
+		return e.homeAnswer(w)
+	}
+	return e.homeCall(w)
+}
+
+func (e *Engine) homeCall(w *packetWork) Cause {
+	var rec Record
+	e.Flows.Update(&w.key, w.hash, func(r *Record, found bool) bool {
+		if !found || r.State == StateEnded && w.opensTCP() {
+			if !e.newRecord(w, r) {
+				return false
+			}
+		}
+		e.touch(w, r)
+		rec = *r
+		return true
+	})
+	if rec.State == 0 {
+		return e.noRecord(w)
+	}
+	if cause := e.admit(w, &rec); cause != CauseNone {
+		return cause
+	}
+	if rec.State == StateTentative || e.fenced(&rec) {
+		return e.ask(w, &rec)
+	}
+	e.refill(w, &rec)
+	return e.deliver(w, rec.Upstream)
+}
+
+// noRecord handles a call for which no record could be made: either no upstream
+// may take a flow, or it is the middle of a TCP flow that others may know.
+func (e *Engine) noRecord(w *packetWork) Cause {
+	if w.p.IP.Protocol == ip.ProtocolTCP && !w.opensTCP() {
+		return e.ask(w, &Record{})
+	}
+	return e.refuse(w, refusalNoUpstream)
+}
+
+// newRecord proposes an upstream for a flow without a record. Nothing is sent
+// there before a backup has the record too, unless there is no other member.
+func (e *Engine) newRecord(w *packetWork, r *Record) bool {
+	if w.p.IP.Protocol == ip.ProtocolTCP && !w.opensTCP() {
+		return false
+	}
+	u := e.choose(w, 0)
+	if u == nil {
+		return false
+	}
+	e.uncount(r)
+	*r = Record{Upstream: u.ID, State: StateTentative, Made: w.seconds, Flags: RecordLocal}
+	if w.view.MayBeLost(w.hash) {
+		r.Flags |= RecordUnsure
+	}
+	e.Counters.Placed.Add(1)
+	return true
+}
+
+// choose returns an upstream for the flow other than not, or nil. Zones in which
+// no member is reachable are left out: their upstreams can't be reached either.
+func (e *Engine) choose(w *packetWork, not bundle.UpstreamID) *bundle.UpstreamRoute {
+	candidates := make([]upstream.Candidate, 0, len(w.service.Upstreams))
+	for _, u := range w.service.Upstreams {
+		if u.ID == not || !w.view.Reaches(u.Zone) {
+			continue
+		}
+		candidates = append(candidates, upstream.Candidate{Route: u, Load: e.Board.Load(u.ID)})
+	}
+	return e.policy.Choose(candidates, uint64(w.hash))
+}
+
+// ask sends a packet through the members that may hold its flow's record. The
+// last of them is the backup of the proposed upstream, which records it if
+// nobody had one.
+func (e *Engine) ask(w *packetWork, r *Record) Cause {
+	h := w.p.Header
+	h.Hop = geneve.Hop{Kind: geneve.KindAsk, Upstream: r.Upstream, Home: uint64(e.self)}
+	if w.answer {
+		h.Hop.Flags |= geneve.FlagAnswer
+	}
+	if r.Upstream != 0 {
+		h.Hop.Flags |= geneve.FlagPlace
+	}
+	if r.Flags&RecordUnsure != 0 || w.view.MayBeLost(w.hash) {
+		h.Hop.Flags |= geneve.FlagUnsure
+	}
+	if w.view.Recent || r.Upstream == 0 || e.fenced(r) {
+		w.view.AddHolders(w.hash, &h.Hop)
+	}
+	if u := w.routing.Upstream(r.Upstream); u != nil {
+		if b := w.view.Backup(w.hash, u.Zone, e.self); b != nil {
+			h.Hop.MoveLast(uint64(b.ID))
+		}
+	}
+	w.p.Header.Hop = h.Hop
+	e.Counters.Asked.Add(1)
+	return e.passToHolder(w)
+}
+
+// homeAnswer lets an answer through to the caller only from the upstream that
+// holds the flow.
+func (e *Engine) homeAnswer(w *packetWork) Cause {
+	from := w.p.Header.Hop.Upstream
+	var rec Record
+	var retried bool
+	e.Flows.Update(&w.key, w.hash, func(r *Record, found bool) bool {
+		if !found {
+			return false
+		}
+		if r.Upstream == from && r.State != StateTentative {
+			if retried = e.retryTCP(w, r); retried {
+				rec = *r
+				return true
+			}
+			r.Flags |= RecordAnswered
+			e.touch(w, r)
+		}
+		rec = *r
+		return true
+	})
+	switch {
+	case retried:
+		return CauseSuperseded
+	case rec.State == 0 || rec.State == StateTentative || e.fenced(&rec):
+		// A lost record may be made again from the answer itself.
+		return e.ask(w, &Record{Upstream: from, Flags: rec.Flags, Made: rec.Made})
+	case rec.Upstream != from:
+		return CauseWrongUpstream
+	}
+	if cause := e.answered(w, &rec); cause != CauseNone {
+		return cause
+	}
+	e.refill(w, &rec)
+	return e.deliver(w, rec.Upstream)
+}
+
+// refill tells the flow's present backup its record if that was told to another
+// member, or to an earlier run of this one. Without it, a second death would
+// lose the flow though it came long after the first.
+func (e *Engine) refill(w *packetWork, r *Record) {
+	u := w.routing.Upstream(r.Upstream)
+	if u == nil {
+		return
+	}
+	b := w.view.Backup(w.hash, u.Zone, e.self)
+	if b == nil || b.Tag() == r.Backup {
+		return
+	}
+	flags := geneve.FlagBackup
+	if r.Flags&RecordRetried != 0 {
+		flags |= geneve.FlagRetried
+	}
+	e.tell(w, b.Data, r.Upstream, flags)
+	e.Flows.Update(&w.key, w.hash, func(r *Record, found bool) bool {
+		r.Backup = b.Tag()
+		r.Told = w.seconds
+		return found
+	})
+}
+
+// touch notes at the home that a packet passed.
+func (e *Engine) touch(w *packetWork, r *Record) {
+	r.Seen = w.seconds
+	r.Flags &^= RecordBackup
+	e.count(r)
+	if e.followTCP(w, r) {
+		e.uncount(r)
+		e.Counters.Ended.Add(1)
+	}
+}
+
+// count adds a record to its upstream's load, once.
+func (e *Engine) count(r *Record) {
+	if r.Flags&RecordCounted != 0 || r.State == StateEnded {
+		return
+	}
+	r.Flags |= RecordCounted
+	e.Board.Load(r.Upstream).Flows.Add(1)
+}
+
+// uncount takes a record out of its upstream's load.
+func (e *Engine) uncount(r *Record) {
+	if r.Flags&RecordCounted == 0 {
+		return
+	}
+	r.Flags &^= RecordCounted
+	e.Board.Load(r.Upstream).Flows.Add(-1)
+}
--- /dev/null
+++ b/internal/connection/caller/tcp.go
@@ -0,0 +1,67 @@
+package caller
+
+import "github.com/fescueshed/fescueshed/internal/request/ip"
+
+// opensTCP reports whether the packet is a caller's SYN.
+func (w *packetWork) opensTCP() bool {
+	return w.p.IP.Protocol == ip.ProtocolTCP && w.p.IP.TCPFlags&(ip.TCPSyn|ip.TCPAck) == ip.TCPSyn
+}
+
+// followTCP notes what a segment does to its flow and reports whether it ended
+// it (RFC 9293, section 3.6): by RST, or by the second FIN.
+func (e *Engine) followTCP(w *packetWork, r *Record) bool {
+	if w.p.IP.Protocol != ip.ProtocolTCP || r.State == StateEnded {
+		return false
+	}
+	if !w.answer && len(w.p.IP.Payload) > 0 {
+		r.Flags |= RecordForwarded
+	}
+	if w.p.IP.TCPFlags&ip.TCPFin != 0 {
+		if w.answer {
+			r.Flags |= RecordFinUpstream
+		} else {
+			r.Flags |= RecordFinCaller
+		}
+	}
+	both := RecordFinCaller | RecordFinUpstream
+	if w.p.IP.TCPFlags&ip.TCPRst == 0 && r.Flags&both != both {
+		return false
+	}
+	if r.State != StateFirm {
+		return false
+	}
+	r.State = StateEnded
+	return true
+}
+
+// retryTCP places a flow once more whose SYN the upstream refused. That is safe
+// because no payload byte was forwarded and the upstream never accepted: the
+// caller's repeated SYN goes to the other upstream, and the RST is not passed on.
+func (e *Engine) retryTCP(w *packetWork, r *Record) bool {
+	const tried = RecordForwarded | RecordAnswered | RecordRetried
+	if w.p.IP.Protocol != ip.ProtocolTCP || w.p.IP.TCPFlags&ip.TCPRst == 0 || r.Flags&tried != 0 {
+		return false
+	}
+	u := e.choose(w, r.Upstream)
+	if u == nil {
+		return false
+	}
+	e.uncount(r)
+	r.Upstream = u.ID
+	e.count(r)
+	r.Flags |= RecordRetried
+	r.Backup = 0
+	return true
+}
+
+// reset answers a segment of a flow that nobody knows.
+func (e *Engine) reset(w *packetWork) Cause {
+	if w.p.IP.TCPFlags&ip.TCPRst != 0 {
+		return CauseNoFlow
+	}
+	inner, err := ip.BuildReset(&w.p.IP)
+	if err == nil {
+		e.toCaller(w, inner)
+	}
+	return CauseNoFlow
+}
--- /dev/null
+++ b/internal/connection/geneve/hop.go
@@ -0,0 +1,187 @@
+package geneve
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+
+	"github.com/dchest/siphash"
+
+	"github.com/fescueshed/fescueshed/internal/version/bundle"
+)
+
+const (
+	// hopClass is in the range for experimental use (RFC 8926, section 7).
+	hopClass     = 0xff5c
+	hopType      = 1
+	criticalType = 0x80
+
+	hopFixedBytes = 20
+	tagBytes      = 8
+	memberBytes   = 8
+	// MaxHolders is how many members one hop option names at most.
+	MaxHolders = 8
+	// signedInner is how much of the inner packet the tag covers: the IP and
+	// transport headers, which name the flow.
+	signedInner = 48
+)
+
+// Kind says what a daemon asks of the next one.
+type Kind uint8
+
+// The kinds of a hop.
+const (
+	// KindNone is the kind of a packet that no daemon has seen yet.
+	KindNone Kind = iota
+	// KindForward asks the home to handle the packet.
+	KindForward
+	// KindAsk goes through the members that may hold the flow's record. One that
+	// has it delivers the packet and tells the home.
+	KindAsk
+	// KindLearn tells a record and carries only the headers of a packet.
+	KindLearn
+	kindEnd
+)
+
+// Flags qualify a hop.
+type Flags uint8
+
+// The flags of a hop.
+const (
+	// FlagAnswer marks a packet from the upstream to the caller.
+	FlagAnswer Flags = 1 << iota
+	// FlagPlace lets the last member asked record the proposed upstream.
+	FlagPlace
+	// FlagUnsure says that every holder of the flow's record may have died.
+	FlagUnsure
+	// FlagBackup marks a record told to a backup, not to a home.
+	FlagBackup
+	// FlagRetried marks the second placing of a TCP flow.
+	FlagRetried
+)
+
+// Hop is the option between daemons.
+type Hop struct {
+	Kind  Kind
+	Flags Flags
+	// Count is how often the packet was passed between daemons.
+	Count uint8
+	// Upstream is who sent the answer, or the upstream proposed or recorded.
+	Upstream bundle.UpstreamID
+	// Home is the member that is told who has the record.
+	Home uint64
+	// Holders are the members yet to be asked, the next one first.
+	Holders [MaxHolders]uint64
+	// NumHolders is how many of Holders are set.
+	NumHolders uint8
+}
+
+// Has reports whether all of flags are set.
+func (h *Hop) Has(flags Flags) bool {
+	return h.Flags&flags == flags
+}
+
+// AddHolder appends a member that isn't there yet, as far as there is room.
+func (h *Hop) AddHolder(id uint64) {
+	for _, have := range h.Holders[:h.NumHolders] {
+		if have == id {
+			return
+		}
+	}
+	if h.NumHolders == MaxHolders {
+		return
+	}
+	h.Holders[h.NumHolders] = id
+	h.NumHolders++
+}
+
+// MoveLast puts a member at the end of the list, whether or not it is there.
+func (h *Hop) MoveLast(id uint64) {
+	kept := h.Holders[:0]
+	for _, have := range h.Holders[:h.NumHolders] {
+		if have != id {
+			kept = append(kept, have)
+		}
+	}
+	if len(kept) == MaxHolders {
+		kept = kept[:MaxHolders-1]
+	}
+	kept = append(kept, id)
+	h.NumHolders = uint8(len(kept))
+}
+
+// NextHolder takes the first holder off the list.
+func (h *Hop) NextHolder() (uint64, bool) {
+	if h.NumHolders == 0 {
+		return 0, false
+	}
+	id := h.Holders[0]
+	copy(h.Holders[:], h.Holders[1:h.NumHolders])
+	h.NumHolders--
+	return id, true
+}
+
+func (h *Hop) decode(b []byte) error {
+	if len(b) < hopFixedBytes+tagBytes {
+		return ErrHopOption
+	}
+	n := int(b[3])
+	if n > MaxHolders || len(b) != hopFixedBytes+n*memberBytes+tagBytes {
+		return ErrHopOption
+	}
+	h.Kind = Kind(b[0])
+	if h.Kind == KindNone || h.Kind >= kindEnd {
+		return ErrHopOption
+	}
+	h.Flags = Flags(b[1])
+	h.Count = b[2]
+	h.NumHolders = b[3]
+	h.Upstream = bundle.UpstreamID(binary.BigEndian.Uint64(b[4:]))
+	h.Home = binary.BigEndian.Uint64(b[12:])
+	for i := range n {
+		h.Holders[i] = binary.BigEndian.Uint64(b[hopFixedBytes+i*memberBytes:])
+	}
+	return nil
+}
+
+func (h *Hop) append(b []byte, k *Key, vni bundle.VNI, inner []byte) []byte {
+	n := hopFixedBytes + int(h.NumHolders)*memberBytes + tagBytes
+	b = binary.BigEndian.AppendUint16(b, hopClass)
+	b = append(b, hopType|criticalType, byte(n/wordBytes))
+	start := len(b)
+	b = append(b, byte(h.Kind), byte(h.Flags), h.Count, h.NumHolders)
+	b = binary.BigEndian.AppendUint64(b, uint64(h.Upstream))
+	b = binary.BigEndian.AppendUint64(b, h.Home)
+	for _, id := range h.Holders[:h.NumHolders] {
+		b = binary.BigEndian.AppendUint64(b, id)
+	}
+	return binary.BigEndian.AppendUint64(b, k.tag(vni, b[start:], inner))
+}
+
+// Key authenticates hops between the daemons of one installation.
+type Key struct {
+	k0, k1 uint64
+}
+
+// NewKey derives the key from a shared secret.
+func NewKey(secret []byte) *Key {
+	sum := sha256.Sum256(append([]byte("fescueshed hop 1\n"), secret...))
+	return &Key{
+		k0: binary.BigEndian.Uint64(sum[:]),
+		k1: binary.BigEndian.Uint64(sum[8:]),
+	}
+}
+
+// Verify reports whether the hop of h was written with the key for this inner
+// packet. A packet without a hop doesn't verify.
+func (k *Key) Verify(h *Header, inner []byte) bool {
+	n := len(h.hopBytes) - tagBytes
+	if n < 0 {
+		return false
+	}
+	return k.tag(h.VNI, h.hopBytes[:n], inner) == binary.BigEndian.Uint64(h.hopBytes[n:])
+}
+
+func (k *Key) tag(vni bundle.VNI, option, inner []byte) uint64 {
+	inner = inner[:min(len(inner), signedInner)]
+	return siphash.Hash(k.k0^uint64(vni), k.k1, option) ^ siphash.Hash(k.k0, k.k1^uint64(vni), inner)
+}
--- /dev/null
+++ b/internal/connection/peer/membership.go
@@ -0,0 +1,528 @@
+package peer
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/fescueshed/fescueshed/internal/version/bundle"
+)
+
+// Config holds the times of a Membership. A zero field takes its default.
+type Config struct {
+	// ProbePeriod is the time between two probes that a daemon sends.
+	ProbePeriod time.Duration
+	// ProbeTimeout is how long it waits for an acknowledgement before it asks
+	// others to probe, and again before it suspects.
+	ProbeTimeout time.Duration
+	// SuspectTimeout is how long a suspected member may refute before it is dead.
+	SuspectTimeout time.Duration
+	// Helpers is how many others are asked to probe a member that didn't answer.
+	Helpers int
+	// LostWindow is how long a member that died is remembered as a possible
+	// holder of requests that a caller may repeat.
+	LostWindow time.Duration
+	// RecentWindow is how long after a change records are looked for at all who
+	// may hold them.
+	RecentWindow time.Duration
+	// GossipCopies is how often each update is passed on.
+	GossipCopies int
+}
+
+// The defaults: a dead member is found in under two seconds at nine members.
+const (
+	DefaultProbePeriod    = 250 * time.Millisecond
+	DefaultProbeTimeout   = 150 * time.Millisecond
+	DefaultSuspectTimeout = 800 * time.Millisecond
+	DefaultHelpers        = 2
+	DefaultLostWindow     = 50 * time.Second
+	DefaultRecentWindow   = 10 * time.Minute
+	DefaultGossipCopies   = 6
+	// deadProbes is how many probe periods lie between two probes of a member
+	// that is out of reach, by which a healed network is noticed.
+	deadProbes = 8
+	// forgetAfter is when a member out of reach is no longer probed.
+	forgetAfter = 24 * time.Hour
+)
+
+func (c Config) withDefaults() Config {
+	setDefault(&c.ProbePeriod, DefaultProbePeriod)
+	setDefault(&c.ProbeTimeout, DefaultProbeTimeout)
+	setDefault(&c.SuspectTimeout, DefaultSuspectTimeout)
+	setDefault(&c.Helpers, DefaultHelpers)
+	setDefault(&c.LostWindow, DefaultLostWindow)
+	setDefault(&c.RecentWindow, DefaultRecentWindow)
+	setDefault(&c.GossipCopies, DefaultGossipCopies)
+	return c
+}
+
+func setDefault[T comparable](v *T, def T) {
+	var zero T
+	if *v == zero {
+		*v = def
+	}
+}
+
+// Envelope is a message and where to send it.
+type Envelope struct {
+	To      netip.AddrPort
+	Message Message
+}
+
+// Membership finds out by direct probes who is there, in the shape of SWIM
+// (Das, Gupta, Motivala 2002): each daemon probes one other in turn, so the cost
+// per daemon doesn't grow with their number. It has no socket and no clock and
+// isn't safe for concurrent use.
+type Membership struct {
+	cfg    Config
+	rng    *rand.Rand
+	self   Member
+	bundle bundle.Version
+	peers  map[ID]*record
+	lost   []lostMember
+	gossip []rumor
+	order  []ID
+	probe  probe
+	relays map[uint32]relay
+	seq    uint32
+	ticks  uint64
+	// changed is when the set of members last changed; zero if never.
+	changed   time.Time
+	nextProbe time.Time
+	epoch     uint64
+}
+
+type record struct {
+	Member
+	since time.Time
+}
+
+type lostMember struct {
+	Member
+	at time.Time
+}
+
+type rumor struct {
+	Member
+	copies int
+}
+
+// probe is the one probe in progress.
+type probe struct {
+	target   ID
+	seq      uint32
+	at       time.Time
+	indirect bool
+}
+
+// relay is a probe made for another member.
+type relay struct {
+	to  netip.AddrPort
+	seq uint32
+	at  time.Time
+}
+
+// NewMembership returns a membership of which self is the only member.
+func NewMembership(cfg Config, self Member, rng *rand.Rand) *Membership {
+	self.State = StateAlive
+	return &Membership{
+		cfg:    cfg.withDefaults(),
+		rng:    rng,
+		self:   self,
+		peers:  make(map[ID]*record),
+		relays: make(map[uint32]relay),
+		seq:    rng.Uint32(),
+		epoch:  1,
+	}
+}
+
+// Epoch grows with each change that View shows.
+func (m *Membership) Epoch() uint64 { return m.epoch }
+
+// Self returns the daemon's own entry.
+func (m *Membership) Self() Member { return m.self }
+
+// SetBundle tells others which version this daemon has in force.
+func (m *Membership) SetBundle(v bundle.Version) { m.bundle = v }
+
+// Seed pings hosts of the platform's list that aren't members. The list lags,
+// so a host on it counts only once it has answered.
+func (m *Membership) Seed(hosts []netip.AddrPort) []Envelope {
+	known := make(map[netip.AddrPort]bool, len(m.peers))
+	for _, r := range m.peers {
+		known[r.Control] = r.State != StateDead && r.State != StateLeft
+	}
+	var out []Envelope
+	for _, h := range hosts {
+		if h != m.self.Control && !known[h] {
+			out = append(out, m.ping(h))
+		}
+	}
+	return out
+}
+
+// Leave marks the daemon as leaving and tells everyone at once.
+func (m *Membership) Leave(now time.Time) []Envelope {
+	m.self.State = StateLeaving
+	m.self.Incarnation++
+	return m.announce(now)
+}
+
+// Left tells everyone that the daemon has handed over all it had.
+func (m *Membership) Left(now time.Time) []Envelope {
+	m.self.State = StateLeft
+	m.self.Incarnation++
+	return m.announce(now)
+}
+
+func (m *Membership) announce(now time.Time) []Envelope {
+	m.touch(now)
+	out := make([]Envelope, 0, len(m.peers))
+	for _, id := range m.ids() {
+		if r := m.peers[id]; r.present() {
+			out = append(out, m.ping(r.Control))
+		}
+	}
+	return out
+}
+
+// Tick lets time pass and returns what is to be sent.
+func (m *Membership) Tick(now time.Time) []Envelope {
+	out := m.follow(now)
+	m.expire(now)
+	if now.Before(m.nextProbe) {
+		return out
+	}
+	m.nextProbe = now.Add(m.cfg.ProbePeriod)
+	m.ticks++
+	if m.probe.target == 0 {
+		out = append(out, m.startProbe(now)...)
+	}
+	if m.ticks%deadProbes == 0 {
+		out = append(out, m.probeDead(now)...)
+	}
+	return out
+}
+
+// follow goes on with the probe in progress: after one timeout it asks helpers,
+// after the next it suspects the member.
+func (m *Membership) follow(now time.Time) []Envelope {
+	if m.probe.target == 0 || now.Sub(m.probe.at) < m.cfg.ProbeTimeout {
+		return nil
+	}
+	r := m.peers[m.probe.target]
+	if r == nil || !r.present() {
+		m.probe = probe{}
+		return nil
+	}
+	if !m.probe.indirect {
+		m.probe.indirect = true
+		m.probe.at = now
+		return m.askHelpers(r)
+	}
+	m.probe = probe{}
+	if r.State == StateAlive || r.State == StateLeaving {
+		suspect := r.Member
+		suspect.State = StateSuspect
+		m.apply(suspect, now)
+	}
+	return nil
+}
+
+func (m *Membership) askHelpers(target *record) []Envelope {
+	var out []Envelope
+	ids := m.ids()
+	m.rng.Shuffle(len(ids), func(i, j int) { ids[i], ids[j] = ids[j], ids[i] })
+	for _, id := range ids {
+		r := m.peers[id]
+		if len(out) == m.cfg.Helpers {
+			break
+		}
+		if id == target.ID || r.State != StateAlive {
+			continue
+		}
+		e := m.envelope(r.Control, KindPingRequest, m.probe.seq)
+		e.Message.Target = target.Control
+		out = append(out, e)
+	}
+	// The direct way is tried again too: one lost datagram is no failure.
+	e := m.envelope(target.Control, KindPing, m.probe.seq)
+	return append(out, e)
+}
+
+func (m *Membership) startProbe(now time.Time) []Envelope {
+	for range 2 {
+		for len(m.order) > 0 {
+			id := m.order[0]
+			m.order = m.order[1:]
+			if r := m.peers[id]; r != nil && r.present() {
+				e := m.ping(r.Control)
+				m.probe = probe{target: id, seq: e.Message.Seq, at: now}
+				return []Envelope{e}
+			}
+		}
+		m.order = m.ids()
+		m.rng.Shuffle(len(m.order), func(i, j int) { m.order[i], m.order[j] = m.order[j], m.order[i] })
+	}
+	return nil
+}
+
+// probeDead pings one member that is out of reach, so that both sides of a cut
+// find each other again without the platform.
+func (m *Membership) probeDead(now time.Time) []Envelope {
+	var dead []ID
+	for _, id := range m.ids() {
+		if m.peers[id].State == StateDead {
+			dead = append(dead, id)
+		}
+	}
+	if len(dead) == 0 {
+		return nil
+	}
+	return []Envelope{m.ping(m.peers[dead[m.rng.IntN(len(dead))]].Control)}
+}
+
+// expire turns suspicion into death and forgets what is long past.
+func (m *Membership) expire(now time.Time) {
+	for _, id := range m.ids() {
+		r := m.peers[id]
+		age := now.Sub(r.since)
+		switch {
+		case r.State == StateSuspect && age >= m.cfg.SuspectTimeout:
+			dead := r.Member
+			dead.State = StateDead
+			m.apply(dead, now)
+		case r.State == StateLeft && age >= m.cfg.LostWindow, r.State == StateDead && age >= forgetAfter:
+			delete(m.peers, id)
+		}
+	}
+	for seq, r := range m.relays {
+		if now.Sub(r.at) > 2*m.cfg.ProbeTimeout {
+			delete(m.relays, seq)
+		}
+	}
+	n := len(m.lost)
+	m.lost = slices.DeleteFunc(m.lost, func(l lostMember) bool { return now.Sub(l.at) >= m.cfg.LostWindow })
+	if len(m.lost) != n {
+		m.epoch++
+	}
+	if !m.changed.IsZero() && now.Sub(m.changed) >= m.cfg.RecentWindow {
+		m.changed = time.Time{}
+		m.epoch++
+	}
+}
+
+// Receive handles a message that was sent from the control address from.
+func (m *Membership) Receive(now time.Time, from netip.AddrPort, msg *Message) []Envelope {
+	if msg.From.ID == m.self.ID {
+		return nil
+	}
+	m.apply(msg.From, now)
+	for i := range msg.Updates {
+		m.apply(msg.Updates[i], now)
+	}
+	var out []Envelope
+	if old := m.peers[msg.From.ID]; old != nil && old.Incarnation >= msg.From.Incarnation && !old.present() {
+		// The sender doesn't know that it is taken for dead: tell it, so that it
+		// can refute with a higher incarnation.
+		m.spread(old.Member)
+	}
+	switch msg.Kind {
+	case KindPing:
+		out = append(out, m.envelope(from, KindAck, msg.Seq))
+	case KindPingRequest:
+		e := m.ping(msg.Target)
+		m.relays[e.Message.Seq] = relay{to: from, seq: msg.Seq, at: now}
+		out = append(out, e)
+	case KindAck:
+		out = append(out, m.acknowledged(now, msg)...)
+	}
+	return out
+}
+
+func (m *Membership) acknowledged(now time.Time, msg *Message) []Envelope {
+	if msg.Seq == m.probe.seq {
+		m.probe = probe{}
+	}
+	r, ok := m.relays[msg.Seq]
+	if !ok {
+		return nil
+	}
+	delete(m.relays, msg.Seq)
+	e := m.envelope(r.to, KindAck, r.seq)
+	e.Message.Target = msg.From.Control
+	e.Message.Updates = append([]Member{msg.From}, e.Message.Updates[:min(len(e.Message.Updates), MaxUpdates-1)]...)
+	return []Envelope{e}
+}
+
+// apply takes in what was said of a member, by itself or by another.
+func (m *Membership) apply(u Member, now time.Time) {
+	if u.ID == m.self.ID {
+		m.refute(u, now)
+		return
+	}
+	r := m.peers[u.ID]
+	if r == nil {
+		if u.State == StateDead || u.State == StateLeft {
+			return
+		}
+		m.peers[u.ID] = &record{Member: u, since: now}
+		m.spread(u)
+		m.touch(now)
+		return
+	}
+	if u.Boot != r.Boot && u.Incarnation > r.Incarnation && r.present() {
+		// The host restarted before its death was noticed: what it held is lost.
+		m.noteLost(r.Member, now)
+	}
+	if !overrules(&u, &r.Member) {
+		return
+	}
+	if u.State == StateDead && r.present() {
+		m.noteLost(r.Member, now)
+	}
+	if u.State == StateAlive && r.State == StateDead && u.Boot == r.Boot {
+		m.noteFound(u)
+	}
+	moves := holds(u.State) != holds(r.State) || u.Boot != r.Boot
+	r.Member = u
+	r.since = now
+	m.spread(u)
+	m.epoch++
+	if moves {
+		m.changed = now
+	}
+}
+
+// holds groups the states between which the homes of flows move: a suspicion
+// that is refuted moves none.
+func holds(s State) State {
+	if s == StateSuspect {
+		return StateAlive
+	}
+	return s
+}
+
+// overrules reports whether u says more than what is known: a higher
+// incarnation, or a later state at the same one.
+func overrules(u, known *Member) bool {
+	if u.Incarnation != known.Incarnation {
+		return u.Incarnation > known.Incarnation
+	}
+	return u.State > known.State
+}
+
+// refute answers a claim about this daemon that isn't true. A claim from an
+// earlier run of it, or of its death, is overruled by a higher incarnation.
+func (m *Membership) refute(u Member, now time.Time) {
+	if u.Incarnation < m.self.Incarnation || u.Boot == m.self.Boot && u.State == m.self.State {
+		return
+	}
+	if u.State <= m.self.State && u.Incarnation == m.self.Incarnation && u.Boot == m.self.Boot {
+		return
+	}
+	m.self.Incarnation = u.Incarnation + 1
+	m.spread(m.self)
+	m.epoch++
+}
+
+func (m *Membership) noteLost(l Member, now time.Time) {
+	m.lost = append(m.lost, lostMember{Member: l, at: now})
+	m.epoch++
+}
+
+// noteFound takes back the loss of a member that was only out of reach.
+func (m *Membership) noteFound(u Member) {
+	m.lost = slices.DeleteFunc(m.lost, func(l lostMember) bool { return l.ID == u.ID && l.Boot == u.Boot })
+}
+
+func (m *Membership) touch(now time.Time) {
+	m.changed = now
+	m.epoch++
+}
+
+// spread passes an update on with the next messages, in place of older ones of
+// the same member.
+func (m *Membership) spread(u Member) {
+	m.gossip = slices.DeleteFunc(m.gossip, func(r rumor) bool { return r.ID == u.ID })
+	m.gossip = append([]rumor{{Member: u, copies: m.cfg.GossipCopies}}, m.gossip...)
+}
+
+func (m *Membership) ping(to netip.AddrPort) Envelope {
+	m.seq++
+	return m.envelope(to, KindPing, m.seq)
+}
+
+func (m *Membership) envelope(to netip.AddrPort, k Kind, seq uint32) Envelope {
+	return Envelope{To: to, Message: Message{
+		Kind:    k,
+		Seq:     seq,
+		From:    m.self,
+		Bundle:  m.bundle,
+		Updates: m.takeGossip(),
+	}}
+}
+
+func (m *Membership) takeGossip() []Member {
+	var out []Member
+	for i := range m.gossip {
+		if len(out) == MaxUpdates {
+			break
+		}
+		out = append(out, m.gossip[i].Member)
+		m.gossip[i].copies--
+	}
+	m.gossip = slices.DeleteFunc(m.gossip, func(r rumor) bool { return r.copies <= 0 })
+	return out
+}
+
+// ids returns the known identifiers in a fixed order, so that the same events
+// and the same seed give the same messages.
+func (m *Membership) ids() []ID {
+	ids := make([]ID, 0, len(m.peers))
+	for id := range m.peers {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+func (r *record) present() bool {
+	return r.State != StateDead && r.State != StateLeft
+}
+
+// Peers returns all known members but this daemon, the absent ones too.
+func (m *Membership) Peers() []Member {
+	out := make([]Member, 0, len(m.peers))
+	for _, id := range m.ids() {
+		out = append(out, m.peers[id].Member)
+	}
+	return out
+}
+
+// View returns the present view.
+func (m *Membership) View() *View {
+	members := []Member{m.self}
+	zones := make(map[bundle.Zone]bool)
+	zones[m.self.Zone] = true
+	for _, id := range m.ids() {
+		r := m.peers[id]
+		if r.present() {
+			members = append(members, r.Member)
+		}
+		zones[r.Zone] = zones[r.Zone] || r.present()
+	}
+	lost := make([]Member, 0, len(m.lost))
+	for _, l := range m.lost {
+		lost = append(lost, l.Member)
+	}
+	v := NewView(m.self.ID, members, lost, !m.changed.IsZero())
+	for z, reached := range zones {
+		if !reached {
+			v.CutZones = append(v.CutZones, z)
+		}
+	}
+	slices.Sort(v.CutZones)
+	return v
+}
--- /dev/null
+++ b/internal/process/daemon/control.go
@@ -0,0 +1,180 @@
+package daemon
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"k8s.io/klog/v2"
+
+	"github.com/fescueshed/fescueshed/internal/connection/peer"
+	"github.com/fescueshed/fescueshed/internal/version/bundle"
+)
+
+// control runs the membership over a UDP socket.
+type control struct {
+	d     *Daemon
+	conn  *net.UDPConn
+	codec *peer.Codec
+
+	// mu guards members and epoch. It is a leaf: nothing is locked while it is held.
+	mu      sync.Mutex
+	members *peer.Membership
+	epoch   uint64
+
+	in, out, inBytes, outBytes, dropped atomic.Uint64
+}
+
+func newControl(d *Daemon, self peer.Member) (*control, error) {
+	codec, err := peer.NewCodec(d.cfg.Secret)
+	if err != nil {
+		return nil, err
+	}
+	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(d.cfg.ControlAddress))
+	if err != nil {
+		return nil, eris.Wrapf(err, "control: listen on %s", d.cfg.ControlAddress)
+	}
+	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	cfg := peer.Config{ProbePeriod: time.Duration(d.cfg.ProbePeriod)}
+	c := &control{d: d, conn: conn, codec: codec, members: peer.NewMembership(cfg, self, rng)}
+	d.engine.SetView(c.members.View())
+	return c, nil
+}
+
+// start reads the socket and the platform's list until the returned function is
+// called.
+func (c *control) start(ctx context.Context) func() {
+	ctx, cancel := context.WithCancel(ctx)
+	var wg sync.WaitGroup
+	wg.Go(c.read)
+	wg.Go(func() { c.seed(ctx) })
+	return func() {
+		cancel()
+		_ = c.conn.Close()
+		wg.Wait()
+	}
+}
+
+func (c *control) read() {
+	buf := make([]byte, peer.MaxMessageBytes+1)
+	for {
+		n, from, err := c.conn.ReadFromUDPAddrPort(buf)
+		if eris.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			continue
+		}
+		c.in.Add(1)
+		c.inBytes.Add(uint64(n))
+		msg, err := c.codec.Decode(buf[:n])
+		if err != nil {
+			c.dropped.Add(1)
+			continue
+		}
+		c.receive(netip.AddrPortFrom(from.Addr().Unmap(), from.Port()), msg)
+	}
+}
+
+func (c *control) receive(from netip.AddrPort, msg *peer.Message) {
+	c.do(func(m *peer.Membership) []peer.Envelope {
+		return m.Receive(time.Now(), from, msg)
+	})
+	c.d.bundles.heard(msg.Bundle, msg.From.RPC)
+}
+
+// do changes the membership, puts a changed view in force and sends messages.
+func (c *control) do(f func(m *peer.Membership) []peer.Envelope) {
+	c.mu.Lock()
+	out := f(c.members)
+	var view *peer.View
+	if e := c.members.Epoch(); e != c.epoch {
+		c.epoch = e
+		view = c.members.View()
+		old := c.d.engine.View()
+		c.d.engine.SetView(view)
+		logChanges(old, view)
+	}
+	c.mu.Unlock()
+	for i := range out {
+		c.send(&out[i])
+	}
+}
+
+func (c *control) send(e *peer.Envelope) {
+	b, err := c.codec.Encode(&e.Message)
+	if err != nil {
+		klog.ErrorS(err, "Membership message can't be encoded")
+		return
+	}
+	if _, err := c.conn.WriteToUDPAddrPort(b, e.To); err == nil {
+		c.out.Add(1)
+		c.outBytes.Add(uint64(len(b)))
+	}
+}
+
+func (c *control) tick(now time.Time) {
+	c.do(func(m *peer.Membership) []peer.Envelope { return m.Tick(now) })
+}
+
+func (c *control) setBundle(v bundle.Version) {
+	c.do(func(m *peer.Membership) []peer.Envelope {
+		m.SetBundle(v)
+		return nil
+	})
+}
+
+func (c *control) leave() {
+	c.do(func(m *peer.Membership) []peer.Envelope { return m.Leave(time.Now()) })
+}
+
+func (c *control) left() {
+	c.do(func(m *peer.Membership) []peer.Envelope { return m.Left(time.Now()) })
+}
+
+// seed looks for members on the platform's list until the daemon ends.
+func (c *control) seed(ctx context.Context) {
+	for {
+		c.seedOnce(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(seedPeriod/2 + rand.N(seedPeriod)):
+		}
+	}
+}
+
+func (c *control) seedOnce(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, seedPeriod)
+	defer cancel()
+	hosts, err := c.d.platform.Hosts(ctx)
+	if err != nil {
+		c.d.bundles.platformErrors.Add(1)
+		return
+	}
+	addrs := make([]netip.AddrPort, 0, len(hosts))
+	for _, h := range hosts {
+		addrs = append(addrs, h.Control)
+	}
+	c.do(func(m *peer.Membership) []peer.Envelope { return m.Seed(addrs) })
+}
+
+// logChanges writes a line for each member that came, went or changed.
+func logChanges(old, now *peer.View) {
+	for i := range now.Members {
+		m := &now.Members[i]
+		if was := old.Member(m.ID); was == nil || was.State != m.State || was.Boot != m.Boot {
+			klog.InfoS("Member changed", "Name", m.Name, "Zone", m.Zone, "State", m.State)
+		}
+	}
+	for i := range old.Members {
+		if m := &old.Members[i]; now.Member(m.ID) == nil {
+			klog.InfoS("Member gone", "Name", m.Name, "Zone", m.Zone)
+		}
+	}
+}
--- /dev/null
+++ b/internal/process/daemon/daemon.go
@@ -0,0 +1,172 @@
+// Package daemon wires one daemon together: what lives for the whole process.
+package daemon
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"k8s.io/klog/v2"
+
+	"github.com/fescueshed/fescueshed/internal/connection/caller"
+	"github.com/fescueshed/fescueshed/internal/connection/geneve"
+	"github.com/fescueshed/fescueshed/internal/connection/peer"
+	"github.com/fescueshed/fescueshed/internal/process/fabric"
+	"github.com/fescueshed/fescueshed/internal/process/settings"
+	"github.com/fescueshed/fescueshed/internal/process/timer"
+	"github.com/fescueshed/fescueshed/internal/version/bundle"
+	"github.com/fescueshed/fescueshed/internal/version/platform"
+)
+
+// The periods at which the parts of a daemon look at the time.
+const (
+	awakePeriod = 50 * time.Millisecond
+	tickPeriod  = 25 * time.Millisecond
+	sweepPeriod = 25 * time.Millisecond
+	seedPeriod  = 2 * time.Second
+)
+
+// Daemon is a running balancer.
+type Daemon struct {
+	cfg      *settings.Settings
+	engine   *caller.Engine
+	fabric   *fabric.Fabric
+	timer    *timer.Service
+	control  *control
+	platform *platform.Client
+	bundles  *bundles
+	boot     time.Time
+	sweeper  sweeper
+
+	readyOnce sync.Once
+	ready     chan struct{}
+}
+
+// New opens the sockets of a daemon and starts its parts. The clean-up function
+// ends them at once; Leave ends them gracefully before.
+func New(ctx context.Context, cfg *settings.Settings) (*Daemon, func(), error) {
+	var cleanups []func()
+	cleanup := func() {
+		for i := len(cleanups) - 1; i >= 0; i-- {
+			cleanups[i]()
+		}
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	cleanups = append(cleanups, cancel)
+	d := &Daemon{cfg: cfg, boot: time.Now(), ready: make(chan struct{})}
+	steps := []func(context.Context) (func(), error){
+		d.startTimer, d.startEngine, d.startPlatform, d.startControl, d.startBundles, d.startRPC, d.startAdmin,
+	}
+	for _, step := range steps {
+		stop, err := step(ctx)
+		if err != nil {
+			cleanup()
+			return nil, nil, err
+		}
+		cleanups = append(cleanups, stop)
+	}
+	d.subscribe()
+	klog.InfoS("Daemon started", "Name", cfg.Name, "Zone", cfg.Zone, "Data", cfg.DataAddress)
+	return d, cleanup, nil
+}
+
+func (d *Daemon) startTimer(context.Context) (func(), error) {
+	t, stop := timer.New()
+	d.timer = t
+	return stop, nil
+}
+
+func (d *Daemon) startEngine(context.Context) (func(), error) {
+	d.engine = caller.NewEngine(caller.Options{
+		Self:    peer.IDOf(d.cfg.Name),
+		Fabrics: d.cfg.Fabrics,
+		Start:   d.boot.Add(-time.Second),
+		Lease:   time.Duration(d.cfg.Lease),
+	})
+	d.sweeper = sweeper{d: d}
+	f, stop, err := fabric.New(fabric.Options{
+		Address:     d.cfg.DataAddress,
+		Workers:     d.cfg.Workers,
+		Batch:       d.cfg.BatchPackets,
+		BufferBytes: d.cfg.SocketBufferBytes,
+		Engine:      d.engine,
+		Key:         geneve.NewKey(d.cfg.Secret),
+	})
+	d.fabric = f
+	return stop, err
+}
+
+func (d *Daemon) startPlatform(context.Context) (func(), error) {
+	c, stop := platform.NewClient(d.cfg.Platform)
+	d.platform = c
+	return stop, nil
+}
+
+func (d *Daemon) startBundles(ctx context.Context) (func(), error) {
+	return d.bundles.start(ctx), nil
+}
+
+func (d *Daemon) startControl(ctx context.Context) (func(), error) {
+	self := peer.Member{
+		ID:          peer.IDOf(d.cfg.Name),
+		Name:        d.cfg.Name,
+		Zone:        d.cfg.Zone,
+		Data:        d.cfg.DataAddress,
+		Control:     d.cfg.ControlAddress,
+		RPC:         d.cfg.ControlAddress,
+		Incarnation: peer.Incarnation(d.boot.UnixMilli()),
+		Boot:        rand.Uint64(),
+	}
+	d.bundles = newBundles(ctx, d)
+	c, err := newControl(d, self)
+	if err != nil {
+		return nil, err
+	}
+	d.control = c
+	return c.start(ctx), nil
+}
+
+func (d *Daemon) subscribe() {
+	d.timer.Subscribe(awakePeriod, d.engine.Awake)
+	d.timer.Subscribe(tickPeriod, d.control.tick)
+	d.timer.Subscribe(sweepPeriod, d.sweeper.step)
+}
+
+// apply puts a verified bundle in force.
+func (d *Daemon) apply(s *bundle.Signed, b *bundle.Bundle) {
+	d.engine.SetRouting(bundle.NewRouting(s.Version, b, d.engine.Routing()))
+	d.control.setBundle(s.Version)
+	d.readyOnce.Do(func() { close(d.ready) })
+	klog.InfoS("Bundle in force", "Version", s.Version, "PreparedBy", s.PreparedBy, "ApprovedBy", s.ApprovedBy)
+}
+
+// Ready is closed once a bundle is in force.
+func (d *Daemon) Ready() <-chan struct{} { return d.ready }
+
+// ErrLeaveTimeout is returned by Leave if something was left when time ran out.
+var ErrLeaveTimeout = eris.New("daemon: the time to leave ran out")
+
+// Leave ends the daemon gracefully: it stops being home of any flow, hands its
+// records over, lets requests in progress end, and goes on passing packets until
+// the fabric has stopped sending them.
+func (d *Daemon) Leave() error {
+	timeout := time.After(time.Duration(d.cfg.LeaveTimeout))
+	d.control.leave()
+	klog.InfoS("Leaving", "Flows", d.engine.Flows.Len(), "OpenRequests", d.engine.Requests.Open())
+	handed := d.sweeper.handover()
+	select {
+	case <-handed:
+	case <-timeout:
+		return eris.Wrapf(ErrLeaveTimeout, "%d flows and %d requests were left",
+			d.engine.Flows.Len(), d.engine.Requests.Open())
+	}
+	select {
+	case <-time.After(time.Duration(d.cfg.LeaveLinger)):
+	case <-timeout:
+	}
+	d.control.left()
+	klog.InfoS("Left", "Flows", d.engine.Flows.Len())
+	return nil
+}
--- /dev/null
+++ b/internal/process/fabric/fabric.go
@@ -0,0 +1,190 @@
+// Package fabric moves Geneve packets between the network fabric, other daemons
+// and upstream hosts: sockets and the workers that read them.
+package fabric
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"golang.org/x/net/ipv4"
+	"golang.org/x/sys/unix"
+
+	"github.com/fescueshed/fescueshed/internal/connection/caller"
+	"github.com/fescueshed/fescueshed/internal/connection/geneve"
+)
+
+// Options are the settings of a Fabric.
+type Options struct {
+	Address     netip.AddrPort
+	Workers     int
+	Batch       int
+	BufferBytes int
+	Engine      *caller.Engine
+	Key         *geneve.Key
+}
+
+// Counters count packets. All are safe for concurrent use.
+type Counters struct {
+	In, Out, Failed atomic.Uint64
+}
+
+// Fabric is the pool of workers over the engine's tables.
+type Fabric struct {
+	opts     Options
+	workers  []*worker
+	Counters Counters
+	// mu guards sender, which sends what no packet brought about.
+	mu     sync.Mutex
+	sender *sender
+}
+
+// maxPacketBytes is the largest packet that is read: a jumbo frame.
+const maxPacketBytes = 9216
+
+// New opens the sockets and starts the workers. The clean-up function closes
+// the sockets and waits for the workers.
+func New(o Options) (*Fabric, func(), error) {
+	f := &Fabric{opts: o}
+	s, closeSender, err := newSender(f)
+	if err != nil {
+		return nil, nil, err
+	}
+	f.sender = s
+	cleanups := []func(){closeSender}
+	cleanup := func() {
+		for i := len(cleanups) - 1; i >= 0; i-- {
+			cleanups[i]()
+		}
+	}
+	for range o.Workers {
+		w, stop, err := newWorker(f)
+		if err != nil {
+			cleanup()
+			return nil, nil, err
+		}
+		f.workers = append(f.workers, w)
+		cleanups = append(cleanups, stop)
+	}
+	return f, cleanup, nil
+}
+
+// Send sends packets that no received packet brought about. It is safe for
+// concurrent use.
+func (f *Fabric) Send(out []caller.Output) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for i := range out {
+		f.sender.add(&out[i])
+	}
+	f.sender.flush()
+}
+
+// worker reads one socket of the group that shares the data address.
+type worker struct {
+	f      *Fabric
+	conn   *ipv4.PacketConn
+	udp    *net.UDPConn
+	in     []ipv4.Message
+	sender *sender
+	decode decoder
+	out    []caller.Output
+}
+
+func newWorker(f *Fabric) (*worker, func(), error) {
+	udp, err := listen(f.opts.Address, f.opts.BufferBytes)
+	if err != nil {
+		return nil, nil, err
+	}
+	s, closeSender, err := newSender(f)
+	if err != nil {
+		_ = udp.Close()
+		return nil, nil, err
+	}
+	w := &worker{f: f, conn: ipv4.NewPacketConn(udp), udp: udp, sender: s}
+	w.in = make([]ipv4.Message, f.opts.Batch)
+	for i := range w.in {
+		w.in[i].Buffers = [][]byte{make([]byte, maxPacketBytes)}
+	}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		w.run()
+	}()
+	return w, func() {
+		_ = udp.Close()
+		<-done
+		closeSender()
+	}, nil
+}
+
+func listen(a netip.AddrPort, bufferBytes int) (*net.UDPConn, error) {
+	lc := net.ListenConfig{Control: reusePort}
+	c, err := lc.ListenPacket(context.Background(), "udp", a.String())
+	if err != nil {
+		return nil, eris.Wrapf(err, "fabric: listen on %s", a)
+	}
+	udp := c.(*net.UDPConn)
+	setBuffers(udp, bufferBytes)
+	return udp, nil
+}
+
+func reusePort(_, _ string, c syscall.RawConn) error {
+	var err error
+	ctlErr := c.Control(func(fd uintptr) {
+		err = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_REUSEPORT, 1)
+	})
+	if ctlErr != nil {
+		return ctlErr
+	}
+	return err
+}
+
+// setBuffers asks for large buffers. The kernel may grant less, which costs
+// packets under bursts but nothing else.
+func setBuffers(c *net.UDPConn, n int) {
+	_ = c.SetReadBuffer(n)
+	_ = c.SetWriteBuffer(n)
+}
+
+func (w *worker) run() {
+	for {
+		n, err := w.conn.ReadBatch(w.in, 0)
+		if err != nil {
+			if eris.Is(err, net.ErrClosed) {
+				return
+			}
+			continue
+		}
+		now := time.Now()
+		w.f.opts.Engine.Awake(now)
+		w.f.Counters.In.Add(uint64(n))
+		for i := range w.in[:n] {
+			m := &w.in[i]
+			w.handle(now, m.Addr, m.Buffers[0][:m.N])
+		}
+		w.sender.flush()
+	}
+}
+
+func (w *worker) handle(now time.Time, from net.Addr, b []byte) {
+	udp, ok := from.(*net.UDPAddr)
+	if !ok {
+		return
+	}
+	e := w.f.opts.Engine
+	p, cause := w.decode.decode(e, w.f.opts.Key, udp.AddrPort().Addr().Unmap(), b)
+	if cause != caller.CauseNone {
+		e.Counters.Drops[cause].Add(1)
+		return
+	}
+	w.out, _ = e.Handle(now, p, w.out[:0])
+	for i := range w.out {
+		w.sender.add(&w.out[i])
+	}
+}
--- /dev/null
+++ b/internal/process/operator/keys.go
@@ -0,0 +1,76 @@
+// Package operator is what operators do: make keys, prepare, approve and roll
+// bundles, and look at daemons.
+package operator
+
+import (
+	"crypto/ed25519"
+	"crypto/rand"
+	"encoding/base64"
+	"encoding/json"
+	"os"
+
+	"github.com/rotisserie/eris"
+)
+
+// KeyFile is an operator's private key as it is kept in a file.
+type KeyFile struct {
+	Name string
+	// Private is the ed25519 seed followed by the public key (RFC 8032).
+	Private ed25519.PrivateKey
+}
+
+const (
+	keyFileMode  = 0o600
+	fileMode     = 0o644
+	othersMayUse = 0o077
+)
+
+// NewKey makes a key and writes it to a file that must not exist yet.
+func NewKey(name, file string) (*KeyFile, error) {
+	_, private, err := ed25519.GenerateKey(rand.Reader)
+	if err != nil {
+		return nil, eris.Wrap(err, "key")
+	}
+	k := &KeyFile{Name: name, Private: private}
+	b, err := json.Marshal(k)
+	if err != nil {
+		return nil, eris.Wrap(err, "key")
+	}
+	f, err := os.OpenFile(file, os.O_WRONLY|os.O_CREATE|os.O_EXCL, keyFileMode)
+	if err != nil {
+		return nil, eris.Wrap(err, "key")
+	}
+	if _, err := f.Write(b); err != nil {
+		_ = f.Close()
+		return nil, eris.Wrap(err, "key")
+	}
+	return k, eris.Wrap(f.Close(), "key")
+}
+
+// LoadKey reads a key file and refuses one that others can read.
+func LoadKey(file string) (*KeyFile, error) {
+	info, err := os.Stat(file)
+	if err != nil {
+		return nil, eris.Wrap(err, "key")
+	}
+	if info.Mode().Perm()&othersMayUse != 0 {
+		return nil, eris.Errorf("key: %s has mode %o, so others can use it; want 600", file, info.Mode().Perm())
+	}
+	b, err := os.ReadFile(file)
+	if err != nil {
+		return nil, eris.Wrap(err, "key")
+	}
+	var k KeyFile
+	if err := json.Unmarshal(b, &k); err != nil {
+		return nil, eris.Wrapf(err, "key: %s", file)
+	}
+	if k.Name == "" || len(k.Private) != ed25519.PrivateKeySize {
+		return nil, eris.Errorf("key: %s holds no private key", file)
+	}
+	return &k, nil
+}
+
+// Public returns the public key as bundles and settings name it.
+func (k *KeyFile) Public() string {
+	return base64.StdEncoding.EncodeToString(k.Private.Public().(ed25519.PublicKey))
+}
--- /dev/null
+++ b/internal/version/bundle/bundle.go
@@ -0,0 +1,191 @@
+// Package bundle is the versioned configuration that operators prepare, approve
+// and roll: its format, its checks, its signature and the routing table that a
+// daemon derives from it.
+package bundle
+
+import (
+	"fmt"
+	"net/netip"
+	"time"
+
+	"github.com/fescueshed/fescueshed/internal/version/hujson"
+)
+
+// Bundle is the content that operators write. It carries no version: that is
+// given when it is approved.
+type Bundle struct {
+	Services []Service
+	// Operators are those who may prepare and approve the next bundle.
+	Operators []Operator
+}
+
+// Operator is a person with a signing key.
+type Operator struct {
+	Name string
+	// Key is the ed25519 public key, 32 bytes in base64 (RFC 8032).
+	Key []byte
+}
+
+// Service is a set of addresses and the upstreams that answer for them.
+type Service struct {
+	Name     string
+	Team     string
+	VNI      VNI
+	Protocol Protocol
+	// Addresses are where callers send to, each an IP address and port.
+	Addresses []netip.AddrPort
+	Upstreams []Upstream
+	// IdleTimeout ends a flow that carried no packet for so long.
+	IdleTimeout Duration
+	// Deadline bounds one request from its first packet to its answer.
+	Deadline Duration
+}
+
+// Upstream is one back end of a service.
+type Upstream struct {
+	Name string
+	// Address is where its host takes Geneve packets (UDP). The IP address
+	// identifies the upstream, so no two share one.
+	Address netip.AddrPort
+	Zone    Zone
+	// Slots is how many requests it works on at once.
+	Slots int
+	// Connections is how many flows it holds at most.
+	Connections int
+	// Drain keeps new flows away; open flows go on.
+	Drain bool
+}
+
+// Defaults for what a service leaves out.
+const (
+	DefaultIdleTimeout = Duration(10 * time.Minute)
+	DefaultDeadline    = Duration(10 * time.Second)
+)
+
+// Decode reads a bundle as JSON with comments and checks it. All problems are
+// returned together as a *hujson.FindingsError.
+func Decode(file string, src []byte) (*Bundle, error) {
+	b, f := hujson.Decode(file, src, Bundle{})
+	for i := range b.Services {
+		b.Services[i].fillDefaults()
+	}
+	b.check(f)
+	if err := f.Err(); err != nil {
+		return nil, err
+	}
+	return &b, nil
+}
+
+func (s *Service) fillDefaults() {
+	if s.IdleTimeout == 0 {
+		s.IdleTimeout = DefaultIdleTimeout
+	}
+	if s.Deadline == 0 {
+		s.Deadline = DefaultDeadline
+	}
+	if s.Protocol == "" {
+		s.Protocol = ProtocolCoAP
+	}
+}
+
+// checker keeps what must be unique across a whole bundle.
+type checker struct {
+	findings  *hujson.Findings
+	names     map[string]string
+	vnis      map[VNI]string
+	addresses map[netip.AddrPort]string
+	upstreams map[netip.Addr]string
+	ids       map[UpstreamID]string
+}
+
+func (b *Bundle) check(f *hujson.Findings) {
+	c := checker{
+		findings:  f,
+		names:     make(map[string]string),
+		vnis:      make(map[VNI]string),
+		addresses: make(map[netip.AddrPort]string),
+		upstreams: make(map[netip.Addr]string),
+		ids:       make(map[UpstreamID]string),
+	}
+	if len(b.Services) == 0 {
+		f.Add("Services", "at least one service is needed")
+	}
+	for i := range b.Services {
+		c.service(fmt.Sprintf("Services[%d]", i), &b.Services[i])
+	}
+	for i, o := range b.Operators {
+		path := fmt.Sprintf("Operators[%d]", i)
+		if o.Name == "" {
+			f.Add(path+".Name", "is missing")
+		}
+		if len(o.Key) != publicKeyBytes {
+			f.Add(path+".Key", "has %d bytes, want %d", len(o.Key), publicKeyBytes)
+		}
+	}
+}
+
+func (c *checker) service(path string, s *Service) {
+	if s.Name == "" {
+		c.findings.Add(path+".Name", "is missing")
+	}
+	if s.VNI == 0 || s.VNI > MaxVNI {
+		c.findings.Add(path+".VNI", "is %d, want 1 to %d", s.VNI, MaxVNI)
+	}
+	if s.Protocol != ProtocolCoAP && s.Protocol != ProtocolTCP {
+		c.findings.Add(path+".Protocol", "is %q, want %q or %q", s.Protocol, ProtocolCoAP, ProtocolTCP)
+	}
+	if s.IdleTimeout < Duration(time.Second) {
+		c.findings.Add(path+".IdleTimeout", "is %v, want at least 1s", time.Duration(s.IdleTimeout))
+	}
+	if s.Deadline <= 0 {
+		c.findings.Add(path+".Deadline", "is %v, want more than 0", time.Duration(s.Deadline))
+	}
+	unique(c, c.names, s.Name, path+".Name", "name")
+	unique(c, c.vnis, s.VNI, path+".VNI", "VNI")
+	if len(s.Addresses) == 0 {
+		c.findings.Add(path+".Addresses", "at least one address is needed")
+	}
+	for i, a := range s.Addresses {
+		at := fmt.Sprintf("%s.Addresses[%d]", path, i)
+		c.address(at, a)
+		unique(c, c.addresses, a, at, "address")
+	}
+	if len(s.Upstreams) == 0 {
+		c.findings.Add(path+".Upstreams", "at least one upstream is needed")
+	}
+	for i := range s.Upstreams {
+		c.upstream(fmt.Sprintf("%s.Upstreams[%d]", path, i), s, &s.Upstreams[i])
+	}
+}
+
+func (c *checker) upstream(path string, s *Service, u *Upstream) {
+	if u.Name == "" {
+		c.findings.Add(path+".Name", "is missing")
+	}
+	if u.Zone == "" {
+		c.findings.Add(path+".Zone", "is missing")
+	}
+	if u.Slots < 1 {
+		c.findings.Add(path+".Slots", "is %d, want at least 1", u.Slots)
+	}
+	if u.Connections < 1 {
+		c.findings.Add(path+".Connections", "is %d, want at least 1", u.Connections)
+	}
+	c.address(path+".Address", u.Address)
+	unique(c, c.upstreams, u.Address.Addr(), path+".Address", "upstream address")
+	unique(c, c.ids, UpstreamIDOf(s.Name, u.Name), path+".Name", "upstream name")
+}
+
+func (c *checker) address(path string, a netip.AddrPort) {
+	if !a.IsValid() || a.Port() == 0 {
+		c.findings.Add(path, "is %q, want an IP address and a port", a)
+	}
+}
+
+func unique[K comparable](c *checker, seen map[K]string, k K, path, what string) {
+	if first, ok := seen[k]; ok {
+		c.findings.Add(path, "the same %s stands at %s", what, first)
+		return
+	}
+	seen[k] = path
+}
--- /dev/null
+++ b/internal/version/bundle/routing.go
@@ -0,0 +1,139 @@
+package bundle
+
+import (
+	"net/netip"
+	"time"
+)
+
+// Routing is the lookup table that a daemon derives from a bundle. It doesn't
+// change once made and is safe for concurrent use.
+type Routing struct {
+	Version   Version
+	services  map[VNI]*ServiceRoute
+	upstreams map[UpstreamID]*UpstreamRoute
+	byAddress map[netip.Addr]*UpstreamRoute
+}
+
+// ServiceRoute is one service of a Routing.
+type ServiceRoute struct {
+	Name        string
+	VNI         VNI
+	Protocol    Protocol
+	Addresses   map[netip.AddrPort]struct{}
+	Upstreams   []*UpstreamRoute
+	IdleTimeout time.Duration
+	Deadline    time.Duration
+}
+
+// UpstreamRoute is one upstream of a Routing.
+type UpstreamRoute struct {
+	ID          UpstreamID
+	Name        string
+	Service     *ServiceRoute
+	Address     netip.AddrPort
+	Zone        Zone
+	Slots       int
+	Connections int
+	// Drain is set for an upstream that must get no new flow, either because the
+	// bundle says so or because this version no longer names it.
+	Drain bool
+}
+
+// NewRouting builds the table of b. Upstreams that prev knew and b no longer
+// names are kept as draining, so that their open flows go on.
+func NewRouting(v Version, b *Bundle, prev *Routing) *Routing {
+	t := &Routing{
+		Version:   v,
+		services:  make(map[VNI]*ServiceRoute, len(b.Services)),
+		upstreams: make(map[UpstreamID]*UpstreamRoute),
+		byAddress: make(map[netip.Addr]*UpstreamRoute),
+	}
+	for i := range b.Services {
+		t.addService(&b.Services[i])
+	}
+	if prev != nil {
+		t.keepRemoved(prev)
+	}
+	return t
+}
+
+func (t *Routing) addService(s *Service) {
+	r := &ServiceRoute{
+		Name:        s.Name,
+		VNI:         s.VNI,
+		Protocol:    s.Protocol,
+		Addresses:   make(map[netip.AddrPort]struct{}, len(s.Addresses)),
+		IdleTimeout: time.Duration(s.IdleTimeout),
+		Deadline:    time.Duration(s.Deadline),
+	}
+	for _, a := range s.Addresses {
+		r.Addresses[a] = struct{}{}
+	}
+	for i := range s.Upstreams {
+		u := &s.Upstreams[i]
+		t.addUpstream(r, &UpstreamRoute{
+			ID:          UpstreamIDOf(s.Name, u.Name),
+			Name:        u.Name,
+			Service:     r,
+			Address:     u.Address,
+			Zone:        u.Zone,
+			Slots:       u.Slots,
+			Connections: u.Connections,
+			Drain:       u.Drain,
+		})
+	}
+	t.services[s.VNI] = r
+}
+
+func (t *Routing) addUpstream(s *ServiceRoute, u *UpstreamRoute) {
+	s.Upstreams = append(s.Upstreams, u)
+	t.upstreams[u.ID] = u
+	t.byAddress[u.Address.Addr()] = u
+}
+
+// keepRemoved carries over upstreams whose service still exists under the same
+// VNI and name. An address that the new version gave to another upstream stays
+// with the new one: its old meaning must not carry packets between services.
+func (t *Routing) keepRemoved(prev *Routing) {
+	for id, old := range prev.upstreams {
+		if _, ok := t.upstreams[id]; ok {
+			continue
+		}
+		s, ok := t.services[old.Service.VNI]
+		if !ok || s.Name != old.Service.Name {
+			continue
+		}
+		if _, taken := t.byAddress[old.Address.Addr()]; taken {
+			continue
+		}
+		u := *old
+		u.Service = s
+		u.Drain = true
+		t.addUpstream(s, &u)
+	}
+}
+
+// Service returns the service of a VNI, or nil.
+func (t *Routing) Service(v VNI) *ServiceRoute {
+	return t.services[v]
+}
+
+// Upstream returns the upstream of an identifier, or nil.
+func (t *Routing) Upstream(id UpstreamID) *UpstreamRoute {
+	return t.upstreams[id]
+}
+
+// UpstreamAt returns the upstream whose host sends Geneve packets from a, or
+// nil. The source port tells nothing: it spreads flows (RFC 8926, section 3.3).
+func (t *Routing) UpstreamAt(a netip.Addr) *UpstreamRoute {
+	return t.byAddress[a]
+}
+
+// Upstreams returns all upstreams, in no particular order.
+func (t *Routing) Upstreams() []*UpstreamRoute {
+	out := make([]*UpstreamRoute, 0, len(t.upstreams))
+	for _, u := range t.upstreams {
+		out = append(out, u)
+	}
+	return out
+}
--- /dev/null
+++ b/internal/version/bundle/units.go
@@ -0,0 +1,62 @@
+package bundle
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/rotisserie/eris"
+)
+
+// VNI is the Geneve virtual network identifier of a service (RFC 8926,
+// section 3.4), 1 to 2^24-1.
+type VNI uint32
+
+// MaxVNI is the largest identifier that fits the 24-bit field.
+const MaxVNI VNI = 1<<24 - 1
+
+// Zone names an availability zone.
+type Zone string
+
+// Version orders bundles. It grows with each roll and never shrinks.
+type Version uint64
+
+// UpstreamID identifies an upstream across daemons and versions. Zero is none.
+type UpstreamID uint64
+
+// UpstreamIDOf derives the identifier of an upstream from its service and name.
+func UpstreamIDOf(service, name string) UpstreamID {
+	return UpstreamID(xxhash.Sum64String(service + "/" + name))
+}
+
+// Duration is a time span that is written as Go writes it, such as "1.5s".
+type Duration time.Duration
+
+// UnmarshalJSON reads "250ms" and the like; a bare number is refused because
+// its unit would be a guess.
+func (d *Duration) UnmarshalJSON(b []byte) error {
+	var s string
+	if err := json.Unmarshal(b, &s); err != nil {
+		return eris.New(`want a duration with its unit, such as "250ms"`)
+	}
+	v, err := time.ParseDuration(s)
+	if err != nil {
+		return eris.Wrap(err, "duration")
+	}
+	*d = Duration(v)
+	return nil
+}
+
+// MarshalJSON writes the duration with its unit.
+func (d Duration) MarshalJSON() ([]byte, error) {
+	return json.Marshal(time.Duration(d).String())
+}
+
+// Protocol names what flows of a service carry.
+type Protocol string
+
+// The protocols a service can have.
+const (
+	ProtocolCoAP Protocol = "CoAP"
+	ProtocolTCP  Protocol = "TCP"
+)
--- /dev/null
+++ b/internal/version/hujson/hujson.go
@@ -0,0 +1,166 @@
+// Package hujson decodes JSON with comments into typed values and reports
+// every problem with its file, line and field instead of stopping at the first.
+package hujson
+
+import (
+	"encoding/json"
+	"fmt"
+	"reflect"
+	"sort"
+	"strings"
+
+	"github.com/tailscale/hujson"
+)
+
+// Finding is one problem of an input file.
+type Finding struct {
+	File string
+	// Line counts from 1. Zero means that the place isn't known.
+	Line int
+	// Field is the path of the value, such as Services[0].VNI.
+	Field   string
+	Problem string
+}
+
+// String gives the finding in the form file:line: field: problem.
+func (f Finding) String() string {
+	return fmt.Sprintf("%s:%d: %s: %s", f.File, f.Line, f.Field, f.Problem)
+}
+
+// Findings collects problems and knows on which line each field stands.
+// It is not safe for concurrent use. The zero value works.
+type Findings struct {
+	File  string
+	List  []Finding
+	lines map[string]int
+}
+
+// Add records a problem of the field at path.
+func (f *Findings) Add(path, format string, args ...any) {
+	f.List = append(f.List, Finding{
+		File:    f.File,
+		Line:    f.line(path),
+		Field:   path,
+		Problem: fmt.Sprintf(format, args...),
+	})
+}
+
+// Err returns all findings as one error, or nil if there are none.
+func (f *Findings) Err() error {
+	if len(f.List) == 0 {
+		return nil
+	}
+	return &FindingsError{List: f.List}
+}
+
+// line finds the line of the nearest enclosing value that the file has, so
+// that a missing field is reported at the object that lacks it.
+func (f *Findings) line(path string) int {
+	for {
+		if n, ok := f.lines[path]; ok {
+			return n
+		}
+		cut := strings.LastIndexAny(path, ".[")
+		if cut < 0 {
+			return f.lines[""]
+		}
+		path = path[:cut]
+	}
+}
+
+// FindingsError reports all findings of one or more files together.
+type FindingsError struct {
+	List []Finding
+}
+
+// Error lists the findings, one a line, in the order of their place.
+func (e *FindingsError) Error() string {
+	list := append([]Finding(nil), e.List...)
+	sort.SliceStable(list, func(i, j int) bool { return list[i].Line < list[j].Line })
+	lines := make([]string, 0, len(list))
+	for _, f := range list {
+		lines = append(lines, f.String())
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Decode reads src into a T that starts as def. Unknown keys and values of the
+// wrong type become findings; the other fields are filled all the same.
+func Decode[T any](file string, src []byte, def T) (T, *Findings) {
+	f := &Findings{File: file, lines: map[string]int{"": 1}}
+	v, err := hujson.Parse(src)
+	if err != nil {
+		f.Add("", "%v", err)
+		return def, f
+	}
+	d := decoder{src: src, findings: f}
+	d.value("", v, reflect.ValueOf(&def).Elem())
+	return def, f
+}
+
+type decoder struct {
+	src      []byte
+	findings *Findings
+}
+
+func (d *decoder) value(path string, v hujson.Value, dst reflect.Value) {
+	d.findings.lines[path] = 1 + strings.Count(string(d.src[:v.StartOffset]), "\n")
+	_, custom := dst.Addr().Interface().(json.Unmarshaler)
+	_, text := dst.Addr().Interface().(interface{ UnmarshalText([]byte) error })
+	switch x := v.Value.(type) {
+	case *hujson.Object:
+		if dst.Kind() == reflect.Struct && !custom && !text {
+			d.object(path, x, dst)
+			return
+		}
+	case *hujson.Array:
+		if dst.Kind() == reflect.Slice && !custom && !text {
+			d.array(path, x, dst)
+			return
+		}
+	}
+	d.leaf(path, v, dst)
+}
+
+func (d *decoder) object(path string, o *hujson.Object, dst reflect.Value) {
+	seen := make(map[string]bool, len(o.Members))
+	for _, m := range o.Members {
+		name := m.Name.Value.(hujson.Literal).String()
+		field := join(path, name)
+		d.findings.lines[field] = 1 + strings.Count(string(d.src[:m.Name.StartOffset]), "\n")
+		if seen[name] {
+			d.findings.Add(field, "stands twice")
+			continue
+		}
+		seen[name] = true
+		f, ok := dst.Type().FieldByName(name)
+		if !ok || !f.IsExported() {
+			d.findings.Add(field, "unknown key")
+			continue
+		}
+		d.value(field, m.Value, dst.FieldByIndex(f.Index))
+	}
+}
+
+func (d *decoder) array(path string, a *hujson.Array, dst reflect.Value) {
+	out := reflect.MakeSlice(dst.Type(), len(a.Elements), len(a.Elements))
+	for i, e := range a.Elements {
+		d.value(fmt.Sprintf("%s[%d]", path, i), e, out.Index(i))
+	}
+	dst.Set(out)
+}
+
+func (d *decoder) leaf(path string, v hujson.Value, dst reflect.Value) {
+	w := v.Clone()
+	w.Standardize()
+	if err := json.Unmarshal(w.Pack(), dst.Addr().Interface()); err != nil {
+		d.findings.Add(path, "%v", err)
+	}
+}
+
+func join(path, name string) string {
+	if path == "" {
+		return name
+	}
+	return path + "." + name
+}
