--- a/internal/connection/peer/membership.go
+++ b/internal/connection/peer/membership.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"maps"
 	"math/rand/v2"
 	"net/netip"
 	"slices"
@@ -33,7 +34,7 @@
 // The defaults: a dead member is found in under two seconds at nine members.
 const (
 	DefaultProbePeriod    = 250 * time.Millisecond
-	DefaultProbeTimeout   = 150 * time.Millisecond
+	DefaultProbeTimeout   = 100 * time.Millisecond
 	DefaultSuspectTimeout = 800 * time.Millisecond
 	DefaultHelpers        = 2
 	DefaultLostWindow     = 50 * time.Second
@@ -80,9 +81,11 @@
 	self   Member
 	bundle bundle.Version
 	peers  map[ID]*record
+	// order holds the keys of peers, sorted, so that the same events and the same
+	// seed give the same messages. It is replaced, never changed in place.
+	order  []ID
 	lost   []lostMember
 	gossip []rumor
-	order  []ID
 	probe  probe
 	relays map[uint32]relay
 	seq    uint32
@@ -179,7 +182,7 @@
 func (m *Membership) announce(now time.Time) []Envelope {
 	m.touch(now)
 	out := make([]Envelope, 0, len(m.peers))
-	for _, id := range m.ids() {
+	for _, id := range m.order {
 		if r := m.peers[id]; r.present() {
 			out = append(out, m.ping(r.Control))
 		}
@@ -232,7 +235,7 @@
 
 func (m *Membership) askHelpers(target *record) []Envelope {
 	var out []Envelope
-	ids := m.ids()
+	ids := slices.Clone(m.order)
 	m.rng.Shuffle(len(ids), func(i, j int) { ids[i], ids[j] = ids[j], ids[i] })
 	for _, id := range ids {
 		r := m.peers[id]
@@ -251,28 +254,35 @@
 	return append(out, e)
 }
 
+// startProbe pings the member whose turn it is. All present members stand in a
+// ring, and in each period everyone probes the one that is a common distance
+// away, so each member is probed once a period. If everyone chose by chance,
+// a dead member would now and then be probed by nobody for a second.
 func (m *Membership) startProbe(now time.Time) []Envelope {
-	for range 2 {
-		for len(m.order) > 0 {
-			id := m.order[0]
-			m.order = m.order[1:]
-			if r := m.peers[id]; r != nil && r.present() {
-				e := m.ping(r.Control)
-				m.probe = probe{target: id, seq: e.Message.Seq, at: now}
-				return []Envelope{e}
-			}
+	ring := []ID{m.self.ID}
+	for _, id := range m.order {
+		if m.peers[id].present() {
+			ring = append(ring, id)
 		}
-		m.order = m.ids()
-		m.rng.Shuffle(len(m.order), func(i, j int) { m.order[i], m.order[j] = m.order[j], m.order[i] })
 	}
-	return nil
+	if len(ring) == 1 {
+		return nil
+	}
+	slices.Sort(ring)
+	round := uint64(now.UnixNano()) / uint64(m.cfg.ProbePeriod)
+	distance := 1 + round%uint64(len(ring)-1)
+	place := uint64(slices.Index(ring, m.self.ID))
+	target := ring[(place+distance)%uint64(len(ring))]
+	e := m.ping(m.peers[target].Control)
+	m.probe = probe{target: target, seq: e.Message.Seq, at: now}
+	return []Envelope{e}
 }
 
 // probeDead pings one member that is out of reach, so that both sides of a cut
 // find each other again without the platform.
 func (m *Membership) probeDead() []Envelope {
 	var dead []ID
-	for _, id := range m.ids() {
+	for _, id := range m.order {
 		if m.peers[id].State == StateDead {
 			dead = append(dead, id)
 		}
@@ -285,7 +295,7 @@
 
 // expire turns suspicion into death and forgets what is long past.
 func (m *Membership) expire(now time.Time) {
-	for _, id := range m.ids() {
+	for _, id := range m.order {
 		r := m.peers[id]
 		age := now.Sub(r.since)
 		switch {
@@ -294,7 +304,7 @@
 			dead.State = StateDead
 			m.apply(dead, now)
 		case r.State == StateLeft && age >= m.cfg.LostWindow, r.State == StateDead && age >= forgetAfter:
-			delete(m.peers, id)
+			m.forget(id)
 		}
 	}
 	for seq, r := range m.relays {
@@ -367,7 +377,7 @@
 		if u.State == StateDead || u.State == StateLeft {
 			return
 		}
-		m.peers[u.ID] = &record{Member: u, since: now}
+		m.add(u, now)
 		m.spread(u)
 		m.touch(now)
 		return
@@ -477,15 +487,18 @@
 	return out
 }
 
-// ids returns the known identifiers in a fixed order, so that the same events
-// and the same seed give the same messages.
-func (m *Membership) ids() []ID {
-	ids := make([]ID, 0, len(m.peers))
-	for id := range m.peers {
-		ids = append(ids, id)
-	}
-	slices.Sort(ids)
-	return ids
+func (m *Membership) add(u Member, now time.Time) {
+	m.peers[u.ID] = &record{Member: u, since: now}
+	m.reorder()
+}
+
+func (m *Membership) forget(id ID) {
+	delete(m.peers, id)
+	m.reorder()
+}
+
+func (m *Membership) reorder() {
+	m.order = slices.Sorted(maps.Keys(m.peers))
 }
 
 func (r *record) present() bool {
@@ -495,7 +508,7 @@
 // Peers returns all known members but this daemon, the absent ones too.
 func (m *Membership) Peers() []Member {
 	out := make([]Member, 0, len(m.peers))
-	for _, id := range m.ids() {
+	for _, id := range m.order {
 		out = append(out, m.peers[id].Member)
 	}
 	return out
@@ -506,7 +519,7 @@
 	members := []Member{m.self}
 	zones := make(map[bundle.Zone]bool)
 	zones[m.self.Zone] = true
-	for _, id := range m.ids() {
+	for _, id := range m.order {
 		r := m.peers[id]
 		if r.present() {
 			members = append(members, r.Member)
