internal/process/fabric: drop packets that waited while the process was paused

Cause: after a pause of 4 s a balancer passed on the calls that had waited in its sockets. Their upstreams had dealt with them and didn't answer again, so the calls kept all slots: 19 of its requests stayed open and it refused the rest. Ruled out: slots kept from before the pause (mended before; no change here), record conflicts (counter at 0). Change: the backlog of each socket is dropped after a pause; a request that expired holds its slot for one more deadline instead of 45 s. Conclusion: what is late by more than the lease is worth less than nothing.

--- a/internal/connection/caller/cluster_test.go
+++ b/internal/connection/caller/cluster_test.go
@@ -385,7 +385,7 @@
 func (c *cluster) segment(n *node, p ip.Packet, payload string) []string {
 	before := len(c.upstreamGot)
 	c.inject(n, fabricAt.Addr(), vniStream, tcpBytes(p.Src, p.Dst, p.TCPFlags, payload))
-	var names []string
+	names := make([]string, 0, 1)
 	for _, u := range c.upstreamGot[before:] {
 		names = append(names, u.upstream)
 	}
--- a/internal/connection/caller/flow_test.go
+++ b/internal/connection/caller/flow_test.go
@@ -33,7 +33,7 @@
 		u := c.call(c.nodes[0], post)
 		holders := c.holders(post)
 		Expect(holders).To(HaveLen(2))
-		var zonesOfHolders []any
+		zonesOfHolders := make([]any, 0, len(holders))
 		for _, h := range holders {
 			zonesOfHolders = append(zonesOfHolders, h.member.Zone)
 		}
@@ -377,7 +377,7 @@
 )
 
 func entries[T any](cases map[string]T) []TableEntry {
-	var out []TableEntry
+	out := make([]TableEntry, 0, len(cases))
 	for name := range cases {
 		out = append(out, Entry(name, name))
 	}
--- a/internal/connection/caller/requests.go
+++ b/internal/connection/caller/requests.go
@@ -34,6 +34,7 @@
 // Request is what the home knows of one request of a flow.
 type Request struct {
 	Upstream  bundle.UpstreamID
+	Opened    time.Time
 	Deadline  time.Time
 	Seen      time.Time
 	Message   coap.Message
@@ -122,6 +123,7 @@
 		*r = Request{
 			Upstream:  rec.Upstream,
 			Deadline:  w.now.Add(w.service.Deadline),
+			Opened:    w.now,
 			Seen:      w.now,
 			Message:   *m,
 			State:     RequestOpen,
@@ -220,6 +222,7 @@
 		case r.State == RequestOpen && now.After(r.Deadline):
 			out = e.expired(&k, &r, out)
 			r.State = RequestExpired
+			r.Deadline, r.Seen = now.Add(r.Deadline.Sub(r.Opened)), now
 			s.m[k] = r
 		case r.State != RequestOpen && now.Sub(r.Seen) > e.keepFor(&k, &r):
 			e.letGo(&r)
@@ -235,7 +238,8 @@
 }
 
 // keepFor is how long a request is kept after its last packet. One that expired
-// holds its slot as long as its upstream may work on it.
+// holds its slot as long again as its deadline was: its upstream may still work
+// on it, but gives it up as well.
 func (e *Engine) keepFor(k *requestKey, r *Request) time.Duration {
 	t := e.routing.Load()
 	if r.State == RequestFeed && t != nil {
@@ -243,6 +247,9 @@
 			return s.IdleTimeout
 		}
 	}
+	if r.State == RequestExpired {
+		return r.Deadline.Sub(r.Seen)
+	}
 	return MaxTransmitSpan
 }
 
--- a/internal/connection/peer/network_test.go
+++ b/internal/connection/peer/network_test.go
@@ -80,8 +80,9 @@
 	m.self.Boot = w.rng.Uint64()
 	m.self.Incarnation = peer.Incarnation(w.now.UnixMilli())
 	m.Membership = peer.NewMembership(w.cfg, m.self, rand.New(rand.NewPCG(w.rng.Uint64(), 2)))
-	var seeds []netip.AddrPort
-	for i := range min(len(w.members), 5) {
+	known := min(len(w.members), 5)
+	seeds := make([]netip.AddrPort, 0, known)
+	for i := range known {
 		seeds = append(seeds, controlAt(i))
 	}
 	w.send(m, m.Seed(seeds))
--- a/internal/process/daemon/admin.go
+++ b/internal/process/daemon/admin.go
@@ -157,6 +157,7 @@
 	}
 	count("fescueshed_packets_received_total", d.fabric.Counters.In.Load)
 	count("fescueshed_packets_sent_total", d.fabric.Counters.Out.Load)
+	count("fescueshed_packets_stale_total", d.fabric.Counters.Stale.Load)
 	count("fescueshed_packets_send_errors_total", d.fabric.Counters.Failed.Load)
 	count("fescueshed_packets_forwarded_to_home_total", c.Forwarded.Load)
 	count("fescueshed_packets_asked_total", c.Asked.Load)
--- /dev/null
+++ b/internal/process/fabric/backlog_test.go
@@ -0,0 +1,36 @@
+package fabric
+
+import (
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func TestFabric(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "fabric")
+}
+
+// Callers are refused for a minute after a balancer was paused. It passes on
+// calls that waited in its socket; their upstreams dealt with them long ago and
+// don't answer again, so the calls keep their slots.
+var _ = Describe("Backlog", func() {
+	type batch struct {
+		pauses uint64
+		n      int
+		stale  bool
+	}
+	for name, batches := range map[string][]batch{
+		"nothing before a pause":       {{0, 64, false}, {0, 3, false}},
+		"what waited, until it's gone": {{0, 64, false}, {1, 64, true}, {1, 64, true}, {1, 5, true}, {1, 64, false}},
+		"each pause's":                 {{1, 5, true}, {1, 5, false}, {2, 5, true}, {2, 5, false}},
+	} {
+		It("drops "+name, func() {
+			var b backlog
+			for _, x := range batches {
+				Expect(b.stale(x.pauses, x.n, 64)).To(Equal(x.stale))
+			}
+		})
+	}
+})
--- a/internal/process/fabric/fabric.go
+++ b/internal/process/fabric/fabric.go
@@ -32,6 +32,8 @@
 // Counters count packets. All are safe for concurrent use.
 type Counters struct {
 	In, Out, Failed atomic.Uint64
+	// Stale counts packets that waited while the process was paused.
+	Stale atomic.Uint64
 }
 
 // Fabric is the pool of workers over the engine's tables.
@@ -87,13 +89,14 @@
 
 // worker reads one socket of the group that shares the data address.
 type worker struct {
-	f      *Fabric
-	conn   *ipv4.PacketConn
-	udp    *net.UDPConn
-	in     []ipv4.Message
-	sender *sender
-	decode caller.Decoder
-	out    []caller.Output
+	f       *Fabric
+	conn    *ipv4.PacketConn
+	udp     *net.UDPConn
+	in      []ipv4.Message
+	sender  *sender
+	backlog backlog
+	decode  caller.Decoder
+	out     []caller.Output
 }
 
 func newWorker(f *Fabric) (*worker, func(), error) {
@@ -164,6 +167,10 @@
 		now := time.Now()
 		w.f.opts.Engine.Awake(now)
 		w.f.Counters.In.Add(uint64(n))
+		if w.backlog.stale(w.f.opts.Engine.Counters.Fenced.Load(), n, len(w.in)) {
+			w.f.Counters.Stale.Add(uint64(n))
+			continue
+		}
 		for i := range w.in[:n] {
 			m := &w.in[i]
 			w.handle(now, m.Addr, m.Buffers[0][:m.N])
