internal/process/fabric: take a new source port each second; IPv6 between hosts

Cause: something between two hosts can lose track of a pair of ports and drop all that it carries, silently, while new pairs work. Ports were kept for the life of the process. Batches were moved with the IPv4 calls on any socket. Ruled out: heartbeats per worker, port and member, which cost control bytes that grow with all three; for control, a probe's second try takes a new port. Change: senders renew their port, control has fresh ports, batches by family. Before: no test.

--- a/internal/connection/peer/membership.go
+++ b/internal/connection/peer/membership.go
@@ -69,6 +69,10 @@
 type Envelope struct {
 	To      netip.AddrPort
 	Message Message
+	// FreshPort asks for a source port that wasn't used before: something between
+	// the two ends may have lost track of the ports used until now, and drops
+	// what they exchange, while a new pair works.
+	FreshPort bool
 }
 
 // Membership finds out by direct probes who is there, in the shape of SWIM
@@ -254,6 +258,7 @@
 	}
 	// The direct way is tried again too: one lost datagram is no failure.
 	e := m.envelope(target.Control, KindPing, m.probe.seq)
+	e.FreshPort = true
 	return append(out, e)
 }
 
--- a/internal/process/daemon/control.go
+++ b/internal/process/daemon/control.go
@@ -3,24 +3,22 @@
 import (
 	"context"
 	"math/rand/v2"
-	"net"
 	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/rotisserie/eris"
 	"k8s.io/klog/v2"
 
 	"github.com/fescueshed/fescueshed/internal/connection/peer"
 	"github.com/fescueshed/fescueshed/internal/version/bundle"
 )
 
-// control runs the membership over a UDP socket.
+// control runs the membership over UDP.
 type control struct {
 	d     *Daemon
-	conn  *net.UDPConn
 	codec *peer.Codec
+	ports *ports
 
 	// mu guards members and epoch. It is a leaf: nothing is locked while it is held.
 	mu      sync.Mutex
@@ -35,50 +33,40 @@
 	if err != nil {
 		return nil, err
 	}
-	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(d.cfg.ControlAddress))
+	p, err := newPorts(d.cfg.ControlAddress)
 	if err != nil {
-		return nil, eris.Wrapf(err, "control: listen on %s", d.cfg.ControlAddress)
+		return nil, err
 	}
 	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	cfg := peer.Config{ProbePeriod: time.Duration(d.cfg.ProbePeriod)}
-	c := &control{d: d, conn: conn, codec: codec, members: peer.NewMembership(cfg, self, rng)}
+	c := &control{d: d, ports: p, codec: codec, members: peer.NewMembership(cfg, self, rng)}
 	d.engine.SetView(c.members.View())
 	return c, nil
 }
 
-// start reads the socket and the platform's list until the returned function is
-// called.
+// start reads the sockets and the platform's list until the returned function
+// is called.
 func (c *control) start(ctx context.Context) func() {
 	ctx, cancel := context.WithCancel(ctx)
 	var wg sync.WaitGroup
-	wg.Go(c.read)
+	c.ports.start(c.datagram)
 	wg.Go(func() { c.seed(ctx) })
 	return func() {
 		cancel()
-		_ = c.conn.Close()
+		c.ports.close()
 		wg.Wait()
 	}
 }
 
-func (c *control) read() {
-	buf := make([]byte, peer.MaxMessageBytes+1)
-	for {
-		n, from, err := c.conn.ReadFromUDPAddrPort(buf)
-		if eris.Is(err, net.ErrClosed) {
-			return
-		}
-		if err != nil {
-			continue
-		}
-		c.in.Add(1)
-		c.inBytes.Add(uint64(n))
-		msg, err := c.codec.Decode(buf[:n])
-		if err != nil {
-			c.dropped.Add(1)
-			continue
-		}
-		c.receive(netip.AddrPortFrom(from.Addr().Unmap(), from.Port()), msg)
+func (c *control) datagram(from netip.AddrPort, b []byte) {
+	c.in.Add(1)
+	c.inBytes.Add(uint64(len(b)))
+	msg, err := c.codec.Decode(b)
+	if err != nil {
+		c.dropped.Add(1)
+		return
 	}
+	c.receive(from, msg)
 }
 
 func (c *control) receive(from netip.AddrPort, msg *peer.Message) {
@@ -112,7 +100,7 @@
 		klog.ErrorS(err, "Membership message can't be encoded")
 		return
 	}
-	if _, err := c.conn.WriteToUDPAddrPort(b, e.To); err == nil {
+	if c.ports.send(b, e.To, e.FreshPort) {
 		c.out.Add(1)
 		c.outBytes.Add(uint64(len(b)))
 	}
--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -33,7 +33,6 @@
 	cfg      *settings.Settings
 	engine   *caller.Engine
 	fabric   *fabric.Fabric
-	timer    *timer.Service
 	control  *control
 	platform *platform.Client
 	bundles  *bundles
@@ -57,7 +56,7 @@
 	cleanups = append(cleanups, cancel)
 	d := &Daemon{cfg: cfg, boot: time.Now(), ready: make(chan struct{})}
 	steps := []func(context.Context) (func(), error){
-		d.startTimer, d.startEngine, d.startPlatform, d.startControl, d.startBundles, d.startRPC, d.startAdmin,
+		d.startEngine, d.startPlatform, d.startControl, d.startBundles, d.startRPC, d.startAdmin, d.startTimer,
 	}
 	for _, step := range steps {
 		stop, err := step(ctx)
@@ -67,14 +66,15 @@
 		}
 		cleanups = append(cleanups, stop)
 	}
-	d.subscribe()
 	klog.InfoS("Daemon started", "Name", cfg.Name, "Zone", cfg.Zone, "Data", cfg.DataAddress)
 	return d, cleanup, nil
 }
 
 func (d *Daemon) startTimer(context.Context) (func(), error) {
 	t, stop := timer.New()
-	d.timer = t
+	t.Subscribe(awakePeriod, d.engine.Awake)
+	t.Subscribe(tickPeriod, d.control.tick)
+	t.Subscribe(sweepPeriod, d.sweeper.step)
 	return stop, nil
 }
 
@@ -128,12 +128,6 @@
 	return c.start(ctx), nil
 }
 
-func (d *Daemon) subscribe() {
-	d.timer.Subscribe(awakePeriod, d.engine.Awake)
-	d.timer.Subscribe(tickPeriod, d.control.tick)
-	d.timer.Subscribe(sweepPeriod, d.sweeper.step)
-}
-
 // apply puts a verified bundle in force.
 func (d *Daemon) apply(s *bundle.Signed, b *bundle.Bundle) {
 	d.engine.SetRouting(bundle.NewRouting(s.Version, b, d.engine.Routing()))
--- a/internal/process/fabric/fabric.go
+++ b/internal/process/fabric/fabric.go
@@ -90,7 +90,7 @@
 // worker reads one socket of the group that shares the data address.
 type worker struct {
 	f       *Fabric
-	conn    *ipv4.PacketConn
+	conn    batchConn
 	udp     *net.UDPConn
 	in      []ipv4.Message
 	sender  *sender
@@ -109,7 +109,7 @@
 		_ = udp.Close()
 		return nil, nil, err
 	}
-	w := &worker{f: f, conn: ipv4.NewPacketConn(udp), udp: udp, sender: s}
+	w := &worker{f: f, conn: newBatchConn(udp), udp: udp, sender: s}
 	w.in = make([]ipv4.Message, f.opts.Batch)
 	for i := range w.in {
 		w.in[i].Buffers = [][]byte{make([]byte, maxPacketBytes)}
