cmd/try: cut off a zone, kill a balancer while it leaves

Change: daemons in debug mode take a list of networks not to speak with; the trial blocks all between one zone's balancers and the other zones.

--- a/cmd/try/failure.go
+++ b/cmd/try/failure.go
@@ -1,13 +1,19 @@
 package main
 
 import (
+	"bytes"
 	"context"
+	"encoding/json"
 	"fmt"
+	"net/http"
+	"net/netip"
 	"sort"
 	"syscall"
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"github.com/fescueshed/fescueshed/internal/version/bundle"
 )
 
 // failure is something that goes wrong, or is changed as planned, while callers
@@ -28,6 +34,8 @@
 		"balancer-restart-all": {"every balancer is replaced, one after the other, gracefully", restartAll},
 		"balancer-join":        {"a new balancer joins", join},
 		"balancer-freeze":      {"a balancer is paused for four seconds and goes on", freeze},
+		"kill-during-handover": {"a balancer is killed while it hands its records over", killLeaving},
+		"zone-cut":             {"a zone is cut off from the others for six seconds and healed", zoneCut},
 		"platform-down":        {"the platform's service is down from then on", platformDown},
 	}
 }
@@ -153,3 +161,100 @@
 	t.say("the platform is down")
 	return t.platform.call(ctx, methodFaults, struct{ Down bool }{true}, nil)
 }
+
+// killLeaving kills a balancer shortly after it was told to leave.
+func killLeaving(ctx context.Context, t *trial) error {
+	if err := pause(ctx, settleTime); err != nil {
+		return err
+	}
+	const leaving = 60 * time.Millisecond
+	b := t.balancers[1]
+	b.signal(syscall.SIGTERM)
+	if err := pause(ctx, leaving); err != nil {
+		return err
+	}
+	t.say("%s is killed while it leaves", b.name)
+	b.signal(syscall.SIGKILL)
+	if err := pause(ctx, fabricLag); err != nil {
+		return err
+	}
+	return t.setRouted(ctx, b, false)
+}
+
+const cutTime = 6 * time.Second
+
+// zoneCut blocks all that goes between the first zone's balancers and the hosts
+// of the other zones.
+func zoneCut(ctx context.Context, t *trial) error {
+	if err := pause(ctx, settleTime); err != nil {
+		return err
+	}
+	if err := t.cut(ctx, true); err != nil {
+		return err
+	}
+	t.say("%s is cut off", t.deploy.zones[0])
+	err := pause(ctx, cutTime)
+	if healErr := t.cut(context.WithoutCancel(ctx), false); err == nil {
+		err = healErr
+	}
+	t.say("%s is healed", t.deploy.zones[0])
+	return err
+}
+
+// cut sets what each balancer is cut off from. A caller's flow stays on the side
+// of its upstream, as the fabric of a cut network does.
+func (t *trial) cut(ctx context.Context, on bool) error {
+	first := t.deploy.zones[0]
+	for _, b := range t.balancers {
+		var blocked []netip.Prefix
+		for _, a := range t.addresses() {
+			if on && (a.zone == first) != (b.zone == first) {
+				blocked = append(blocked, netip.PrefixFrom(a.addr, a.addr.BitLen()))
+			}
+		}
+		if err := b.block(ctx, blocked); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+type zonedAddress struct {
+	zone bundle.Zone
+	addr netip.Addr
+}
+
+// addresses returns where balancers and upstreams are.
+func (t *trial) addresses() []zonedAddress {
+	var out []zonedAddress
+	for _, b := range t.balancers {
+		out = append(out, zonedAddress{zone: b.zone, addr: b.data.Addr()})
+	}
+	for _, s := range t.deploy.bundle().Services {
+		for _, u := range s.Upstreams {
+			out = append(out, zonedAddress{zone: u.Zone, addr: u.Address.Addr()})
+		}
+	}
+	return out
+}
+
+// block tells a balancer which networks not to speak with.
+func (b *balancer) block(ctx context.Context, networks []netip.Prefix) error {
+	body, err := json.Marshal(networks)
+	if err != nil {
+		return eris.Wrap(err, b.name)
+	}
+	r, err := http.NewRequestWithContext(ctx, http.MethodPut, "http://"+b.admin.String()+"/debug/blocked", bytes.NewReader(body))
+	if err != nil {
+		return eris.Wrap(err, b.name)
+	}
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return eris.Wrap(err, b.name)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return eris.Errorf("%s: %s", b.name, resp.Status)
+	}
+	return nil
+}
--- a/cmd/try/trial.go
+++ b/cmd/try/trial.go
@@ -146,6 +146,7 @@
 	s.Fabrics = []netip.AddrPort{fabricAddress()}
 	s.Operators = []bundle.Operator{{Name: t.key.Name, Key: t.publicKey()}}
 	s.Secret = t.secret
+	s.Debug = true
 	b, err := json.MarshalIndent(s, "", "  ")
 	if err != nil {
 		panic(err) // Settings always encode.
--- a/internal/process/daemon/admin.go
+++ b/internal/process/daemon/admin.go
@@ -37,7 +37,8 @@
 		set.WritePrometheus(w)
 		metrics.WriteProcessMetrics(w)
 	})
-	if d.cfg.Profiling {
+	if d.cfg.Debug {
+		mux.Handle("PUT /debug/blocked", &d.blocked)
 		mux.HandleFunc("/debug/pprof/", pprof.Index)
 		mux.HandleFunc("/debug/pprof/profile", pprof.Profile)
 	}
--- a/internal/process/daemon/control.go
+++ b/internal/process/daemon/control.go
@@ -59,6 +59,9 @@
 }
 
 func (c *control) datagram(from netip.AddrPort, b []byte) {
+	if c.d.blocked.Blocks(from.Addr()) {
+		return
+	}
 	c.in.Add(1)
 	c.inBytes.Add(uint64(len(b)))
 	msg, err := c.codec.Decode(b)
@@ -95,6 +98,9 @@
 }
 
 func (c *control) send(e *peer.Envelope) {
+	if c.d.blocked.Blocks(e.To.Addr()) {
+		return
+	}
 	b, err := c.codec.Encode(&e.Message)
 	if err != nil {
 		klog.ErrorS(err, "Membership message can't be encoded")
--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -13,6 +13,7 @@
 	"github.com/fescueshed/fescueshed/internal/connection/caller"
 	"github.com/fescueshed/fescueshed/internal/connection/geneve"
 	"github.com/fescueshed/fescueshed/internal/connection/peer"
+	"github.com/fescueshed/fescueshed/internal/process/blocklist"
 	"github.com/fescueshed/fescueshed/internal/process/fabric"
 	"github.com/fescueshed/fescueshed/internal/process/settings"
 	"github.com/fescueshed/fescueshed/internal/process/timer"
@@ -38,6 +39,7 @@
 	bundles  *bundles
 	boot     time.Time
 	sweeper  sweeper
+	blocked  blocklist.List
 
 	readyOnce sync.Once
 	ready     chan struct{}
@@ -93,6 +95,7 @@
 		BufferBytes: d.cfg.SocketBufferBytes,
 		Engine:      d.engine,
 		Key:         geneve.NewKey(d.cfg.Secret),
+		Blocked:     &d.blocked,
 	})
 	d.fabric = f
 	return stop, err
--- a/internal/process/fabric/fabric.go
+++ b/internal/process/fabric/fabric.go
@@ -17,6 +17,7 @@
 
 	"github.com/fescueshed/fescueshed/internal/connection/caller"
 	"github.com/fescueshed/fescueshed/internal/connection/geneve"
+	"github.com/fescueshed/fescueshed/internal/process/blocklist"
 )
 
 // Options are the settings of a Fabric.
@@ -27,6 +28,8 @@
 	BufferBytes int
 	Engine      *caller.Engine
 	Key         *geneve.Key
+	// Blocked are networks not spoken with; nil for none.
+	Blocked *blocklist.List
 }
 
 // Counters count packets. All are safe for concurrent use.
@@ -184,8 +187,12 @@
 	if !ok {
 		return
 	}
+	addr := udp.AddrPort().Addr().Unmap()
+	if w.f.opts.Blocked.Blocks(addr) {
+		return
+	}
 	e := w.f.opts.Engine
-	p, cause := w.decode.Decode(e, w.f.opts.Key, udp.AddrPort().Addr().Unmap(), b)
+	p, cause := w.decode.Decode(e, w.f.opts.Key, addr, b)
 	if cause != caller.CauseNone {
 		e.Counters.Drops[cause].Add(1)
 		return
--- a/internal/process/fabric/sender.go
+++ b/internal/process/fabric/sender.go
@@ -69,6 +69,9 @@
 }
 
 func (s *sender) add(o *caller.Output) {
+	if s.f.opts.Blocked.Blocks(o.To.Addr()) {
+		return
+	}
 	if s.n == len(s.msgs) {
 		s.flush()
 	}
--- a/internal/process/settings/settings.go
+++ b/internal/process/settings/settings.go
@@ -53,8 +53,8 @@
 	// LeaveLinger is how long a leaving daemon still takes packets that the
 	// fabric sends it after all records were handed over.
 	LeaveLinger bundle.Duration
-	// Profiling serves pprof at the admin address.
-	Profiling bool
+	// Debug serves pprof and the list of blocked networks at the admin address.
+	Debug bool
 }
 
 const (
