internal/connection/caller: a copy of each record in every zone, and a cut that neither breaks nor doubles

After a change of homes a refusal could be untrue: the first copy had gone through another home. Ruled out: asking across the cut (nothing reaches), digests of all flows in the control traffic (1.6 KB/s for each daemon at the size to design for). A flow whose home would be beyond the cut is held until its third copy, then served if idempotent; its POSTs are answered as unknown. Requests for an unreachable upstream take no slot. Refusals for want of a slot wait until the members have been settled for longer than a caller repeats.

--- a/internal/connection/caller/cause.go
+++ b/internal/connection/caller/cause.go
@@ -22,6 +22,7 @@
 	CauseRefused
 	CauseUnknown
 	CauseSuperseded
+	CauseUnreachable
 	causeEnd
 )
 
@@ -31,7 +32,7 @@
 var causeNames = [NumCauses]string{
 	"None", "MalformedGeneve", "MalformedIP", "MalformedCoAP", "Stranger", "BadTag",
 	"NoBundle", "WrongService", "NoFlow", "WrongUpstream", "TokenNotOpen", "UpstreamGone",
-	"NoUpstream", "TooManyHops", "Refused", "Unknown", "Superseded",
+	"NoUpstream", "TooManyHops", "Refused", "Unknown", "Superseded", "Unreachable",
 }
 
 // String names the cause as metrics do.
--- a/internal/connection/caller/engine.go
+++ b/internal/connection/caller/engine.go
@@ -64,8 +64,11 @@
 	routing atomic.Pointer[bundle.Routing]
 	// awake is when the daemon last saw its clock, in nanoseconds since start.
 	awake atomic.Int64
-	// fence is the time before which records must be confirmed by others.
+	// fence is the time before which requests are forgotten.
 	fence atomic.Uint32
+	// pauses counts the pauses of the process. Records from before the last one
+	// must be confirmed by others.
+	pauses atomic.Uint32
 
 	Flows    *Table
 	Requests *Requests
@@ -76,7 +79,10 @@
 // numberedView is a view with the number by which records refer to it.
 type numberedView struct {
 	*peer.View
+	// number is never zero, which stands for no view.
 	number uint8
+	// previous is the view before, or nil.
+	previous *peer.View
 }
 
 // Counters count what the engine did. All are safe for concurrent use.
@@ -119,7 +125,8 @@
 func (e *Engine) SetView(v *peer.View) {
 	next := &numberedView{View: v, number: 1}
 	if old := e.view.Load(); old != nil {
-		next.number = old.number + 1
+		next.previous = old.View
+		next.number = max(1, old.number+1)
 	}
 	e.view.Store(next)
 }
@@ -142,6 +149,7 @@
 	at := now.Sub(e.start)
 	last := time.Duration(e.awake.Swap(int64(at)))
 	if last != 0 && at-last > e.lease {
+		e.pauses.Add(1)
 		e.fence.Store(uint32(e.seconds(now)) + 1)
 		e.Counters.Fenced.Add(1)
 	}
@@ -288,7 +296,12 @@
 
 // fenced reports whether a record is from before a pause of this process.
 func (e *Engine) fenced(r *Record) bool {
-	return uint32(r.Made) < e.fence.Load()
+	return r.Pauses != uint8(e.pauses.Load())
+}
+
+// holds notes that a record is known to hold now.
+func (e *Engine) holds(r *Record) {
+	r.Pauses = uint8(e.pauses.Load())
 }
 
 func (w *packetWork) send(to netip.AddrPort, h geneve.Header, inner []byte) {
--- a/internal/connection/caller/holder.go
+++ b/internal/connection/caller/holder.go
@@ -76,7 +76,7 @@
 		return e.known(w, &rec)
 	}
 	if !hop.Has(geneve.FlagPlace) {
-		if w.p.IP.Protocol == ip.ProtocolTCP && !w.answer {
+		if w.p.IP.Protocol == ip.ProtocolTCP && !w.answer && !w.opensTCP() {
 			return e.reset(w)
 		}
 		return CauseNoFlow
@@ -86,6 +86,7 @@
 	}
 	rec := e.keep(w, hop.Upstream)
 	e.tellHome(w, &rec)
+	e.tellReplicas(w, &rec)
 	if hop.Has(geneve.FlagUnsure) && w.mayHaveRun() {
 		return e.unknown(w)
 	}
@@ -113,9 +114,10 @@
 	hop := &w.p.Header.Hop
 	var rec Record
 	e.Flows.Update(&w.key, w.hash, func(r *Record, found bool) bool {
-		r.Made = w.seconds
+		e.holds(r)
 		if !found || r.State != StateFirm || hop.Placed > r.Placed {
 			e.replace(r, id, hop, w.seconds)
+			r.Replicated = w.view.number
 			if peer.ID(hop.Home) != e.self {
 				r.Flags |= RecordBackup
 			}
@@ -138,6 +140,23 @@
 	}
 }
 
+// tellReplicas lets the zones that neither home nor this daemon is in know of a
+// new flow. Nobody waits for it; the home's renewals make up for a lost datagram.
+func (e *Engine) tellReplicas(w *packetWork, r *Record) {
+	home := peer.ID(w.p.Header.Hop.Home)
+	self := w.view.Member(e.self)
+	for _, z := range w.view.Zones() {
+		m := w.view.Replica(w.hash, z, home)
+		if m == nil || m.ID == e.self || self != nil && self.Zone == z && home != e.self {
+			continue
+		}
+		h := w.plain()
+		h.Control = true
+		h.Hop = learnHop(home, r, geneve.FlagBackup)
+		w.send(m.Data, h, ip.Headers(w.p.Inner))
+	}
+}
+
 // tell sends a record without the packet's payload.
 func (e *Engine) tell(w *packetWork, to netip.AddrPort, r *Record, flags geneve.Flags) {
 	h := w.plain()
@@ -149,6 +168,7 @@
 	w.send(to, h, ip.Headers(w.p.Inner))
 }
 
+// learnHop tells a record in the name of a holder.
 func learnHop(self peer.ID, r *Record, flags geneve.Flags) geneve.Hop {
 	if r.Flags&RecordRetried != 0 {
 		flags |= geneve.FlagRetried
--- a/internal/connection/caller/home.go
+++ b/internal/connection/caller/home.go
@@ -20,7 +20,7 @@
 func (e *Engine) homeCall(w *packetWork) Cause {
 	var rec Record
 	e.Flows.Update(&w.key, w.hash, func(r *Record, found bool) bool {
-		if !found || r.State == StateEnded && w.opensTCP() {
+		if !found || r.State == StateHeld || r.State == StateEnded && w.opensTCP() {
 			if !e.newRecord(w, r) {
 				return false
 			}
@@ -29,8 +29,11 @@
 		rec = *r
 		return true
 	})
-	if rec.State == 0 {
+	switch {
+	case rec.State == 0:
 		return e.noRecord(w)
+	case rec.State == StateHeld:
+		return e.ask(w, &Record{})
 	}
 	if cause := e.admit(w, &rec); cause != CauseNone {
 		return cause
@@ -57,19 +60,43 @@
 	if w.p.IP.Protocol == ip.ProtocolTCP && !w.opensTCP() {
 		return false
 	}
+	beyond := w.view.BeyondCut(w.hash)
+	if beyond && hold(w, r) {
+		return true
+	}
 	u := e.choose(w, 0)
 	if u == nil {
 		return false
 	}
 	e.uncount(r)
-	*r = Record{Upstream: u.ID, State: StateTentative, Made: w.seconds, Placed: unixSeconds(w.now), Flags: RecordLocal}
-	if w.view.MayBeLost(w.hash) {
-		r.Flags |= RecordUnsure
+	*r = Record{Upstream: u.ID, State: StateTentative, Placed: unixSeconds(w.now), Flags: RecordLocal}
+	e.holds(r)
+	if beyond || w.view.MayBeLost(w.hash) {
+		r.Flags = RecordUnsure
 	}
 	e.Counters.Placed.Add(1)
 	return true
 }
 
+// heldSightings is how often the same message of a flow must come before a side
+// of a cut places it whose home is on the other side. A caller that reaches both
+// sides gets its answer from there before, most likely; one that reaches only
+// this side is served after two retransmissions.
+const heldSightings = 3
+
+// hold counts the copies of a message. It returns false when there were enough.
+func hold(w *packetWork, r *Record) bool {
+	id := w.p.IP.Seq
+	if w.p.IP.Protocol == ip.ProtocolUDP {
+		id = uint32(w.p.CoAP.MessageID)
+	}
+	if r.State != StateHeld || r.Other != id {
+		*r = Record{State: StateHeld, Other: id}
+	}
+	r.Told++
+	return r.Told < heldSightings
+}
+
 // choose returns an upstream for the flow other than not, or nil. Zones in which
 // no member is reachable are left out: their upstreams can't be reached either.
 func (e *Engine) choose(w *packetWork, not bundle.UpstreamID) *bundle.UpstreamRoute {
@@ -95,7 +122,7 @@
 	if r.Upstream != 0 {
 		h.Hop.Flags |= geneve.FlagPlace
 	}
-	if r.Flags&RecordUnsure != 0 || w.view.MayBeLost(w.hash) {
+	if r.Flags&RecordUnsure != 0 || w.view.MayBeLost(w.hash) || w.view.BeyondCut(w.hash) {
 		h.Hop.Flags |= geneve.FlagUnsure
 	}
 	if e.fenced(r) && r.State == StateFirm {
@@ -129,6 +156,9 @@
 		if !found {
 			return false
 		}
+		if r.State == StateHeld {
+			return true
+		}
 		if r.Upstream == from && r.State != StateTentative {
 			if retried = e.retryTCP(w, r); retried {
 				rec = *r
@@ -186,6 +216,9 @@
 // touch notes at the home that a packet passed.
 func (e *Engine) touch(w *packetWork, r *Record) {
 	r.Seen = w.seconds
+	if r.State == StateHeld {
+		return
+	}
 	r.Flags &^= RecordBackup
 	e.count(r)
 	if e.followTCP(w, r) {
--- a/internal/connection/caller/learn.go
+++ b/internal/connection/caller/learn.go
@@ -37,7 +37,7 @@
 
 // agree notes that the sender holds the same record.
 func (e *Engine) agree(r *Record, hop *geneve.Hop, sender *peer.Member, now Seconds) {
-	r.Made = now
+	e.holds(r)
 	if sender != nil {
 		r.Other = sender.Tag()
 		r.Told = now
@@ -45,12 +45,12 @@
 	if !hop.Has(geneve.FlagBackup) {
 		return
 	}
+	// Either the home renews the record of a flow that goes on, or it has
+	// confirmed that it is home.
+	r.Seen = now
 	if hop.Has(geneve.FlagConfirm) {
-		// The home renews the record of a flow that goes on.
-		r.Seen = now
 		return
 	}
-	// The sender has confirmed that it is home.
 	e.uncount(r)
 	r.Flags |= RecordBackup
 	r.Flags &^= RecordLocal
@@ -74,10 +74,16 @@
 	if hop.Has(geneve.FlagRetried) {
 		flags |= RecordRetried
 	}
+	if hop.Placed != r.Placed {
+		// Not the placing that was proposed here, but one from before: nothing was
+		// lost, and there are requests that this daemon doesn't know.
+		flags &^= RecordUnsure | RecordLocal
+	}
 	if r.State == StateEnded {
 		flags = 0
 	}
-	*r = Record{Upstream: id, State: StateFirm, Seen: now, Made: now, Placed: hop.Placed, Flags: flags}
+	*r = Record{Upstream: id, State: StateFirm, Seen: now, Placed: hop.Placed, Flags: flags}
+	e.holds(r)
 	if counted {
 		e.count(r)
 	}
--- a/internal/connection/caller/requests.go
+++ b/internal/connection/caller/requests.go
@@ -94,15 +94,21 @@
 	if w.service.Protocol != bundle.ProtocolCoAP || !m.IsRequest() {
 		return CauseNone
 	}
-	if rec.State == StateFirm && rec.Flags&RecordUnsure != 0 && !m.IsIdempotent() && w.withinSpan(rec) {
+	if rec.State == StateFirm && rec.Flags&RecordUnsure != 0 && !m.IsIdempotent() && w.mayRunElsewhere(rec) {
 		// An earlier record of the flow may be lost, and with it the upstream to
 		// which this request went before: running it here could be the second run.
 		return e.unknown(w)
 	}
+	if rec.State == StateTentative && rec.Flags&RecordUnsure != 0 && !m.IsIdempotent() {
+		// Those who are asked next decide: it goes on only to an upstream that had
+		// the flow before.
+		return CauseNone
+	}
 	load := e.Board.Load(rec.Upstream)
-	limit := int64(1)
+	limit, reachable := int64(1), true
 	if u := w.routing.Upstream(rec.Upstream); u != nil {
 		limit = int64(u.Slots)
+		reachable = w.view.Reaches(u.Zone)
 	}
 	cause := CauseNone
 	k := requestKey{flow: w.key, token: m.Token}
@@ -112,43 +118,69 @@
 			return true
 		}
 		if found {
-			e.letGo(r)
+			e.leave(r)
 		}
-		if load.Requests.Load() >= limit {
+		if reachable && load.Requests.Load() >= limit && e.isFirstCopy(w) {
 			cause = CauseRefused
 			return false
 		}
-		load.Requests.Add(1)
-		e.Requests.open.Add(1)
 		*r = Request{
-			Upstream:  rec.Upstream,
-			Deadline:  w.now.Add(w.service.Deadline),
-			Opened:    w.now,
-			Seen:      w.now,
-			Message:   *m,
-			State:     RequestOpen,
-			holdsSlot: true,
+			Upstream: rec.Upstream,
+			Deadline: w.now.Add(w.service.Deadline),
+			Opened:   w.now,
+			Seen:     w.now,
+			Message:  *m,
+			State:    RequestOpen,
+		}
+		e.Requests.open.Add(1)
+		if reachable {
+			r.holdsSlot = true
+			load.Requests.Add(1)
 		}
 		return true
 	})
-	if cause == CauseRefused {
+	switch {
+	case cause == CauseRefused:
 		return e.refuse(w, refusalBusy)
+	case !reachable:
+		// The caller may reach the upstream's side of the cut with its next copy. If
+		// not, it is told at the deadline.
+		return CauseUnreachable
 	}
 	return CauseNone
 }
 
-func (w *packetWork) withinSpan(rec *Record) bool {
+// isFirstCopy reports whether a request that isn't known here was surely not let
+// through before. While members change, a caller's first copy may have gone
+// through another home, and "not run" would not be true of the next one.
+func (e *Engine) isFirstCopy(w *packetWork) bool {
+	pausedUntil := Seconds(e.fence.Load()) + Seconds(MaxTransmitSpan/time.Second)
+	return !w.view.Unsettled && (e.fence.Load() == 0 || w.seconds > pausedUntil)
+}
+
+// mayRunElsewhere reports whether the caller may have sent this request before,
+// to the upstream of a lost record or to the other side of a cut.
+func (w *packetWork) mayRunElsewhere(rec *Record) bool {
+	if w.view.BeyondCut(w.hash) {
+		return true
+	}
 	return time.Duration(unixSeconds(w.now)-rec.Placed)*time.Second < MaxTransmitSpan
 }
 
 // letGo frees what a request holds at its upstream.
 func (e *Engine) letGo(r *Request) {
-	if !r.holdsSlot {
-		return
+	if r.holdsSlot {
+		r.holdsSlot = false
+		e.Board.Load(r.Upstream).Requests.Add(-1)
+	}
+}
+
+// leave notes that a request isn't open any more.
+func (e *Engine) leave(r *Request) {
+	e.letGo(r)
+	if r.State == RequestOpen {
+		e.Requests.open.Add(-1)
 	}
-	r.holdsSlot = false
-	e.Board.Load(r.Upstream).Requests.Add(-1)
-	e.Requests.open.Add(-1)
 }
 
 // answered decides whether an answer of the flow's upstream may go to the caller.
@@ -177,7 +209,7 @@
 func (e *Engine) settle(w *packetWork, r *Request) Cause {
 	m := &w.p.CoAP
 	r.Seen = w.now
-	e.letGo(r)
+	e.leave(r)
 	switch r.State {
 	case RequestExpired:
 		return CauseTokenNotOpen
@@ -211,16 +243,17 @@
 		switch {
 		case home != nil && home.ID != e.self:
 			// Another daemon is home now and lets the answer through.
-			e.letGo(&r)
+			e.leave(&r)
 			delete(s.m, k)
 		case e.beforeFence(&r):
 			// While this process was paused, others were home: the answer has gone
 			// past it, and the slot would stay taken for nothing. If there was no
 			// answer, the caller's repetition opens the request again.
-			e.letGo(&r)
+			e.leave(&r)
 			delete(s.m, k)
 		case r.State == RequestOpen && now.After(r.Deadline):
 			out = e.expired(&k, &r, out)
+			e.Requests.open.Add(-1)
 			r.State = RequestExpired
 			r.Deadline, r.Seen = now.Add(r.Deadline.Sub(r.Opened)), now
 			s.m[k] = r
--- a/internal/connection/caller/sweep.go
+++ b/internal/connection/caller/sweep.go
@@ -30,7 +30,7 @@
 	if t == nil {
 		return out, SweepResult{Whole: true}
 	}
-	s := sweep{e: e, view: e.View(), routing: t, now: e.seconds(now), budget: budget, out: out}
+	s := sweep{e: e, view: e.view.Load(), routing: t, now: e.seconds(now), budget: budget, out: out}
 	e.Flows.Visit(shard, s.visit)
 	result := SweepResult{Told: budget - s.budget, Whole: !s.short}
 	return e.expire(now, shard, s.out), result
@@ -39,7 +39,7 @@
 // sweep is the state of one pass through a shard.
 type sweep struct {
 	e       *Engine
-	view    *peer.View
+	view    *numberedView
 	routing *bundle.Routing
 	now     Seconds
 	budget  int
@@ -91,11 +91,8 @@
 	if u == nil || home == nil {
 		return true
 	}
-	backup := s.view.Backup(h, u.Zone, home.ID)
 	if home.ID == s.view.Self {
-		if backup != nil && (backup.Tag() != r.Other || s.mustRenew(k, r)) {
-			s.tell(k, r, backup.Data, geneve.FlagBackup|geneve.FlagConfirm)
-		}
+		s.atHome(k, r, u, h)
 		return true
 	}
 	if home.Tag() != r.Other {
@@ -104,8 +101,49 @@
 	}
 	// A former holder's record isn't renewed. Kept, it could one day speak for a
 	// flow that was placed again meanwhile.
-	former := backup == nil || backup.ID != s.view.Self
-	return !former || s.view.Recent
+	return s.view.Recent || s.keepsFor(h, home.ID)
+}
+
+// atHome tells the backup and the other zones what they lack.
+func (s *sweep) atHome(k *Key, r *Record, u *bundle.UpstreamRoute, h peer.FlowHash) {
+	renew := s.mustRenew(k, r)
+	if backup := s.view.Backup(h, u.Zone, s.view.Self); backup != nil && (renew || backup.Tag() != r.Other) {
+		s.tell(k, r, backup.Data, geneve.FlagBackup|geneve.FlagConfirm)
+	}
+	if !renew && r.Replicated == s.view.number {
+		return
+	}
+	next := s.view.previous != nil && r.Replicated == max(1, s.view.number-1)
+	for _, z := range s.view.Zones() {
+		m := s.view.Replica(h, z, s.view.Self)
+		if m == nil || z == u.Zone {
+			continue
+		}
+		if !renew && next && s.hadReplica(h, z, m) {
+			continue
+		}
+		s.tell(k, r, m.Data, geneve.FlagBackup)
+	}
+	if !s.short {
+		r.Replicated = s.view.number
+	}
+}
+
+// hadReplica reports whether m kept the zone's copy under the view before, so
+// that one change of a member doesn't have all flows told again.
+func (s *sweep) hadReplica(h peer.FlowHash, z bundle.Zone, m *peer.Member) bool {
+	old := s.view.previous.Replica(h, z, s.view.Self)
+	return old != nil && old.Tag() == m.Tag()
+}
+
+// keepsFor reports whether this daemon keeps its zone's copy.
+func (s *sweep) keepsFor(h peer.FlowHash, home peer.ID) bool {
+	self := s.view.Member(s.view.Self)
+	if self == nil {
+		return true
+	}
+	m := s.view.Replica(h, self.Zone, home)
+	return m != nil && m.ID == s.view.Self
 }
 
 // mustRenew reports whether the flow went on for half of its idle time since
--- a/internal/connection/caller/table.go
+++ b/internal/connection/caller/table.go
@@ -20,6 +20,9 @@
 	StateTentative RecordState = iota + 1
 	// StateFirm is a record that its backup knows, or that came from a holder.
 	StateFirm
+	// StateHeld is a flow that isn't placed yet, since its home is beyond a cut and
+	// may have placed it there.
+	StateHeld
 	// StateEnded keeps a closed TCP flow for its last segments.
 	StateEnded
 )
@@ -55,22 +58,25 @@
 	Upstream bundle.UpstreamID
 	// Seen is when the last packet passed.
 	Seen Seconds
-	// Made is when this daemon got the record.
-	Made Seconds
 	// Placed is when the flow was placed, in seconds since 1970. A flow that was
 	// placed again, since its holders seemed dead, has two records until they
 	// meet; the later one holds.
 	Placed uint32
-	// Told is when the other holder last confirmed the record.
+	// Told is when the other holder last confirmed the record. While a flow is
+	// held it counts the packets held.
 	Told Seconds
 	// Other is the tag of the other holder, home or backup, that has confirmed the
-	// record, or zero.
+	// record, or zero. While a flow is held it names the message held.
 	Other uint32
 	Flags RecordFlags
 	State RecordState
-	// Checked is the number of the view under which the other holder was last
-	// found to be the right one. It wraps; Sweep finds what that hides.
-	Checked uint8
+	// Checked and Replicated are numbers of views: that under which the other
+	// holder was last found to be the right one, and that under which the other
+	// zones were told. They wrap; renewing the record mends what that hides.
+	Checked, Replicated uint8
+	// Pauses is the number of this process's pauses when the record was last
+	// known to hold.
+	Pauses uint8
 }
 
 const (
--- a/internal/connection/caller/tcp.go
+++ b/internal/connection/caller/tcp.go
@@ -50,7 +50,7 @@
 	r.Upstream = u.ID
 	e.count(r)
 	r.Flags |= RecordRetried
-	r.Other = 0
+	r.Other, r.Checked, r.Replicated = 0, 0, 0
 	return true
 }
 
--- a/internal/connection/peer/membership.go
+++ b/internal/connection/peer/membership.go
@@ -95,7 +95,9 @@
 	seq    uint32
 	ticks  uint64
 	// changed is when the set of members last changed; zero if never.
-	changed   time.Time
+	changed time.Time
+	// unsettled is set for the lost window after such a change.
+	unsettled bool
 	nextProbe time.Time
 	epoch     uint64
 }
@@ -331,6 +333,10 @@
 	if len(m.lost) != n {
 		m.epoch++
 	}
+	if m.unsettled && now.Sub(m.changed) >= m.cfg.LostWindow {
+		m.unsettled = false
+		m.epoch++
+	}
 	if !m.changed.IsZero() && now.Sub(m.changed) >= m.cfg.RecentWindow {
 		m.changed = time.Time{}
 		m.epoch++
@@ -418,7 +424,7 @@
 	m.spread(u)
 	m.epoch++
 	if moves {
-		m.changed = now
+		m.touch(now)
 	}
 }
 
@@ -466,6 +472,7 @@
 
 func (m *Membership) touch(now time.Time) {
 	m.changed = now
+	m.unsettled = true
 	m.epoch++
 }
 
@@ -547,7 +554,7 @@
 }
 
 func (m *Membership) changes(reached map[bundle.Zone]bool) Changes {
-	c := Changes{Recent: !m.changed.IsZero()}
+	c := Changes{Recent: !m.changed.IsZero(), Unsettled: m.unsettled}
 	for _, l := range m.lost {
 		c.Lost = append(c.Lost, l.Member)
 	}
@@ -562,5 +569,10 @@
 		}
 	}
 	slices.Sort(c.CutZones)
+	for _, id := range m.order {
+		if r := m.peers[id]; r.State == StateDead && !reached[r.Zone] {
+			c.Unreachable = append(c.Unreachable, r.Member)
+		}
+	}
 	return c
 }
--- a/internal/connection/peer/view.go
+++ b/internal/connection/peer/view.go
@@ -38,6 +38,9 @@
 type Changes struct {
 	// Recent is set for some time after any change.
 	Recent bool
+	// Unsettled is set for as long after a change as a caller may repeat a message
+	// that went through another home before it.
+	Unsettled bool
 	// Lost are members that went without handing over.
 	Lost []Member
 	// Fresh are members that joined or restarted lately: records that the ranking
@@ -45,6 +48,8 @@
 	Fresh []ID
 	// CutZones are those whose known members are all out of reach.
 	CutZones []bundle.Zone
+	// Unreachable are the members of those zones. They may live and decide.
+	Unreachable []Member
 }
 
 // NewView makes the view of the daemon self.
@@ -112,6 +117,36 @@
 	return v.first(h, filter{not: home})
 }
 
+// Replica returns the member of zone z that keeps a copy of a flow's record, so
+// that the zone knows the flow when it is cut off: the first in rank there
+// besides the home. In the upstream's zone that is the backup. It is nil if the
+// zone has no other member.
+func (v *View) Replica(h FlowHash, z bundle.Zone, home ID) *Member {
+	return v.first(h, filter{zone: z, not: home})
+}
+
+// Zones returns the zones of the members, in a fixed order for this view.
+func (v *View) Zones() []bundle.Zone { return v.zones }
+
+// BeyondCut reports whether the flow's home would be in a zone that is cut off:
+// new flows that this side doesn't know may have been placed on that side.
+func (v *View) BeyondCut(h FlowHash) bool {
+	if len(v.Unreachable) == 0 {
+		return false
+	}
+	home := v.Home(h)
+	if home == nil {
+		return true
+	}
+	best := score(h, home.ID)
+	for i := range v.Unreachable {
+		if score(h, v.Unreachable[i].ID) > best {
+			return true
+		}
+	}
+	return false
+}
+
 // filter says which members are ranked. The zero value takes all that stay.
 type filter struct {
 	// zone leaves only its members if it isn't empty.
