internal/connection/caller: a record made in doubt keeps its doubt wherever it is told

Cause: the differential test with cuts ran a POST twice. A side that didn't know the flow recorded its proposal and answered the POST as unknown; the next copy found that record at a holder, took it for one from before, and ran. Ruled out: deliveries across the cut in the test's own links, which were there too and are gone. Change: whether a record was made while earlier ones may have been lost goes with it through asks and tells.

--- a/internal/connection/caller/holder.go
+++ b/internal/connection/caller/holder.go
@@ -34,8 +34,13 @@
 // may be one from before the flow was placed again, so all are asked. It still
 // counts if nobody has a newer one: all holders may have been paused together.
 func offer(hop *geneve.Hop, r *Record) {
-	if hop.Found == 0 || r.Placed > hop.Placed {
-		hop.Found, hop.Placed = r.Upstream, r.Placed
+	if hop.Found != 0 && r.Placed <= hop.Placed {
+		return
+	}
+	hop.Found, hop.Placed = r.Upstream, r.Placed
+	hop.Flags &^= geneve.FlagFoundUnsure
+	if r.Flags&RecordUnsure != 0 {
+		hop.Flags |= geneve.FlagFoundUnsure
 	}
 }
 
@@ -65,6 +70,9 @@
 	if w.answer && r.Upstream != w.p.Header.Hop.Upstream {
 		return CauseWrongUpstream
 	}
+	if !w.answer && w.mayHaveRun() && w.mayRunElsewhere(r) {
+		return e.unknown(w)
+	}
 	return e.deliver(w, r.Upstream)
 }
 
@@ -72,7 +80,7 @@
 func (e *Engine) allAsked(w *packetWork) Cause {
 	hop := &w.p.Header.Hop
 	if hop.Found != 0 {
-		rec := e.keep(w, hop.Found)
+		rec := e.keep(w, hop.Found, hop.Has(geneve.FlagFoundUnsure))
 		return e.known(w, &rec)
 	}
 	if !hop.Has(geneve.FlagPlace) {
@@ -84,7 +92,7 @@
 	if w.answer {
 		return e.adopt(w)
 	}
-	rec := e.keep(w, hop.Upstream)
+	rec := e.keep(w, hop.Upstream, hop.Has(geneve.FlagUnsure))
 	e.tellHome(w, &rec)
 	e.tellReplicas(w, &rec)
 	if hop.Has(geneve.FlagUnsure) && w.mayHaveRun() {
@@ -101,7 +109,7 @@
 	if !hop.Has(geneve.FlagUnsure) {
 		return CauseNoFlow
 	}
-	rec := e.keep(w, hop.Upstream)
+	rec := e.keep(w, hop.Upstream, false)
 	if rec.Upstream == hop.Upstream {
 		e.Counters.Adopted.Add(1)
 	}
@@ -109,14 +117,15 @@
 }
 
 // keep records that the flow is at the upstream id, as the hop says, unless a
-// newer record stands here already. It returns the record that holds.
-func (e *Engine) keep(w *packetWork, id bundle.UpstreamID) Record {
+// newer record stands here already. It returns the record that holds. unsure
+// says that an earlier record may have been lost.
+func (e *Engine) keep(w *packetWork, id bundle.UpstreamID, unsure bool) Record {
 	hop := &w.p.Header.Hop
 	var rec Record
 	e.Flows.Update(&w.key, w.hash, func(r *Record, found bool) bool {
 		e.holds(r)
 		if !found || r.State != StateFirm || hop.Placed > r.Placed {
-			e.replace(r, id, hop, w.seconds)
+			e.replace(r, told{upstream: id, placed: hop.Placed, unsure: unsure}, w.seconds)
 			r.Replicated = w.view.number
 			if peer.ID(hop.Home) != e.self {
 				r.Flags |= RecordBackup
@@ -173,6 +182,9 @@
 	if r.Flags&RecordRetried != 0 {
 		flags |= geneve.FlagRetried
 	}
+	if r.Flags&RecordUnsure != 0 {
+		flags |= geneve.FlagUnsure
+	}
 	return geneve.Hop{
 		Kind: geneve.KindLearn, Flags: flags, Upstream: r.Upstream, Placed: r.Placed, Home: uint64(self),
 	}
--- a/internal/connection/caller/learn.go
+++ b/internal/connection/caller/learn.go
@@ -15,7 +15,7 @@
 	var mine Record
 	e.Flows.Update(&w.key, w.hash, func(r *Record, found bool) bool {
 		if !found || r.State != StateFirm || supersedes(hop, r) {
-			e.replace(r, hop.Upstream, hop, w.seconds)
+			e.replace(r, toldBy(hop), w.seconds)
 			if hop.Has(geneve.FlagBackup) {
 				r.Flags |= RecordBackup
 			}
@@ -66,23 +66,40 @@
 	return hop.Placed > r.Placed || hop.Placed == r.Placed && retried
 }
 
-// replace makes r the firm record of a flow at the upstream id.
-func (e *Engine) replace(r *Record, id bundle.UpstreamID, hop *geneve.Hop, now Seconds) {
+// told is a record as another member knows it.
+type told struct {
+	upstream bundle.UpstreamID
+	placed   uint32
+	unsure   bool
+	retried  bool
+}
+
+func toldBy(hop *geneve.Hop) told {
+	return told{
+		upstream: hop.Upstream,
+		placed:   hop.Placed,
+		unsure:   hop.Has(geneve.FlagUnsure),
+		retried:  hop.Has(geneve.FlagRetried),
+	}
+}
+
+// replace makes r the firm record that was told.
+func (e *Engine) replace(r *Record, t told, now Seconds) {
 	counted := r.Flags&RecordCounted != 0
 	e.uncount(r)
-	flags := r.Flags &^ RecordBackup
-	if hop.Has(geneve.FlagRetried) {
-		flags |= RecordRetried
+	var flags RecordFlags
+	if t.placed == r.Placed && r.State != StateEnded {
+		// The placing that was proposed here. Of an earlier one there may be requests
+		// that this daemon doesn't know.
+		flags = r.Flags & (RecordLocal | RecordForwarded | RecordAnswered | RecordFinCaller | RecordFinUpstream)
 	}
-	if hop.Placed != r.Placed {
-		// Not the placing that was proposed here, but one from before: nothing was
-		// lost, and there are requests that this daemon doesn't know.
-		flags &^= RecordUnsure | RecordLocal
+	if t.retried {
+		flags |= RecordRetried
 	}
-	if r.State == StateEnded {
-		flags = 0
+	if t.unsure {
+		flags |= RecordUnsure
 	}
-	*r = Record{Upstream: id, State: StateFirm, Seen: now, Placed: hop.Placed, Flags: flags}
+	*r = Record{Upstream: t.upstream, State: StateFirm, Seen: now, Placed: t.placed, Flags: flags}
 	e.holds(r)
 	if counted {
 		e.count(r)
--- a/internal/connection/caller/requests.go
+++ b/internal/connection/caller/requests.go
@@ -94,7 +94,7 @@
 	if w.service.Protocol != bundle.ProtocolCoAP || !m.IsRequest() {
 		return CauseNone
 	}
-	if rec.State == StateFirm && rec.Flags&RecordUnsure != 0 && !m.IsIdempotent() && w.mayRunElsewhere(rec) {
+	if rec.State == StateFirm && !m.IsIdempotent() && w.mayRunElsewhere(rec) {
 		// An earlier record of the flow may be lost, and with it the upstream to
 		// which this request went before: running it here could be the second run.
 		return e.unknown(w)
@@ -161,6 +161,9 @@
 // mayRunElsewhere reports whether the caller may have sent this request before,
 // to the upstream of a lost record or to the other side of a cut.
 func (w *packetWork) mayRunElsewhere(rec *Record) bool {
+	if rec.Flags&RecordUnsure == 0 {
+		return false
+	}
 	if w.view.BeyondCut(w.hash) {
 		return true
 	}
--- a/internal/connection/geneve/hop.go
+++ b/internal/connection/geneve/hop.go
@@ -51,7 +51,8 @@
 	FlagAnswer Flags = 1 << iota
 	// FlagPlace lets the last member asked record the proposed upstream.
 	FlagPlace
-	// FlagUnsure says that every holder of the flow's record may have died.
+	// FlagUnsure says that every holder of the flow's record may have died. Of a
+	// record that is told, it says that it was made in such a case.
 	FlagUnsure
 	// FlagBackup marks a record told to a backup, not to a home.
 	FlagBackup
@@ -59,6 +60,9 @@
 	FlagRetried
 	// FlagConfirm asks who is told a record to tell it back.
 	FlagConfirm
+	// FlagFoundUnsure says that the record in Found was made when every holder of
+	// an earlier one may have died.
+	FlagFoundUnsure
 )
 
 // Hop is the option between daemons.
