internal/connection/caller: one placer per service, and no control packet for a new flow

Ruled out: gossiped counts alone, which come after the burst of new flows. Change: the first packet goes home, placer, home, past a keeper of each zone, and the backup of the chosen upstream; each keeps the record from the packet itself, and the first answer confirms it. Renewals ride on the flow's packets too. Members tell their counts of flows with their probes.

--- a/internal/connection/caller/engine.go
+++ b/internal/connection/caller/engine.go
@@ -211,6 +211,15 @@
 		return e.learn(w)
 	case geneve.KindAsk:
 		return e.holder(w)
+	case geneve.KindChoose:
+		return e.placer(w)
+	case geneve.KindChosen:
+		return e.chosen(w)
+	case geneve.KindRefresh:
+		return e.refreshed(w)
+	case geneve.KindPropose:
+		e.copyProposal(w)
+		return CauseNone
 	default:
 		return e.route(w)
 	}
--- a/internal/connection/caller/holder.go
+++ b/internal/connection/caller/holder.go
@@ -19,14 +19,66 @@
 	case found && r.State == StateFirm:
 		offer(hop, &r)
 	case found && r.State == StateTentative && hop.Has(geneve.FlagPlace) && hop.Found == 0 && !w.answer:
-		// Another home under another view has proposed this upstream first. Both
-		// must come to the same one.
-		hop.Upstream, hop.Placed = r.Upstream, r.Placed
+		yield(hop, &r)
+	case found && r.isCopy() && hop.Found == 0:
+		// The flow's first packet went past here; nobody may know more beyond a cut.
+		hop.Found, hop.Placed = r.Upstream, 0
 	}
-	if hop.NumHolders > 0 {
-		return e.passToHolder(w)
+	if hop.Has(geneve.FlagPlace) && hop.Found == 0 && hop.NumHolders > 0 && !w.answer && w.view.Keeps(w.hash, peer.ID(hop.Home)) {
+		e.copyProposal(w)
 	}
-	return e.allAsked(w)
+	return e.passToHolder(w)
+}
+
+// yield puts an earlier proposal in the place of the one that the packet brings.
+// Two homes under two views may propose at once, and the packets of an earlier
+// try may have reached an upstream: all must come to the same one.
+func yield(hop *geneve.Hop, r *Record) {
+	if r.Upstream == 0 || r.Upstream == hop.Upstream || r.Placed > hop.Placed {
+		return
+	}
+	if r.Placed == hop.Placed && r.Upstream > hop.Upstream {
+		return
+	}
+	hop.Flags |= geneve.FlagOverruled
+	hop.Upstream, hop.Placed = r.Upstream, r.Placed
+}
+
+// isCopy reports whether this is a proposal that its home left here on its way.
+func (r *Record) isCopy() bool {
+	return r.State == StateTentative && r.Upstream != 0 && r.Other != 0 && r.Flags&RecordBackup != 0
+}
+
+// copyProposal keeps a proposal of another member. Those who keep their zone's
+// copies do so, so that the zone knows the flow if it is cut off.
+func (e *Engine) copyProposal(w *packetWork) {
+	hop := &w.p.Header.Hop
+	home := w.view.Member(peer.ID(hop.Home))
+	if home == nil {
+		return
+	}
+	e.Flows.Update(&w.key, w.hash, func(r *Record, found bool) bool {
+		if !found || r.State == StateHeld {
+			*r = Record{
+				Upstream: hop.Upstream, State: StateTentative, Placed: hop.Placed,
+				Seen: w.seconds, Flags: RecordBackup, Other: home.Tag(),
+			}
+			if hop.Has(geneve.FlagUnsure) {
+				r.Flags |= RecordUnsure
+			}
+			e.holds(r)
+		}
+		if r.isChoice() && r.Upstream == hop.Upstream {
+			// The placer keeps its zone's copy too, which lasts longer than its choice.
+			r.Other = home.Tag()
+		}
+		return true
+	})
+}
+
+// isChoice reports whether this is what a placer remembers of its choice.
+func (r *Record) isChoice() bool {
+	return r.State == StateTentative && r.Flags&RecordBackup != 0 && r.Other == 0
 }
 
 // offer notes a holder's record in the hop if it is the newest so far. While
@@ -47,11 +99,19 @@
 // passToHolder sends the packet to the next member on its list that is still
 // there, or decides itself if none is.
 func (e *Engine) passToHolder(w *packetWork) Cause {
+	if e.passOn(w) {
+		return CauseNone
+	}
+	return e.allAsked(w)
+}
+
+// passOn sends the packet to the next member on its list, if any is there.
+func (e *Engine) passOn(w *packetWork) bool {
 	hop := &w.p.Header.Hop
 	for {
 		id, ok := hop.NextHolder()
 		if !ok {
-			return e.allAsked(w)
+			return false
 		}
 		m := w.view.Member(peer.ID(id))
 		if m == nil || m.ID == e.self {
@@ -60,7 +120,7 @@
 		h := w.p.Header
 		h.Hop.Count++
 		w.send(m.Data, h, w.p.Inner)
-		return CauseNone
+		return true
 	}
 }
 
@@ -80,7 +140,7 @@
 func (e *Engine) allAsked(w *packetWork) Cause {
 	hop := &w.p.Header.Hop
 	if hop.Found != 0 {
-		rec := e.keep(w, hop.Found, hop.Has(geneve.FlagFoundUnsure))
+		rec, _ := e.keep(w, hop.Found, hop.Has(geneve.FlagFoundUnsure))
 		return e.known(w, &rec)
 	}
 	if !hop.Has(geneve.FlagPlace) {
@@ -92,9 +152,12 @@
 	if w.answer {
 		return e.adopt(w)
 	}
-	rec := e.keep(w, hop.Upstream, hop.Has(geneve.FlagUnsure))
-	e.tellHome(w, &rec)
-	e.tellReplicas(w, &rec)
+	rec, fresh := e.keep(w, hop.Upstream, hop.Has(geneve.FlagUnsure))
+	if !fresh || hop.Has(geneve.FlagUnsure) || hop.Has(geneve.FlagOverruled) {
+		// Else the home takes the first answer for a confirmation; but there may be
+		// none, and then the packet comes here again.
+		e.tellHome(w, &rec)
+	}
 	if hop.Has(geneve.FlagUnsure) && w.mayHaveRun() {
 		return e.unknown(w)
 	}
@@ -109,7 +172,7 @@
 	if !hop.Has(geneve.FlagUnsure) {
 		return CauseNoFlow
 	}
-	rec := e.keep(w, hop.Upstream, false)
+	rec, _ := e.keep(w, hop.Upstream, false)
 	if rec.Upstream == hop.Upstream {
 		e.Counters.Adopted.Add(1)
 	}
@@ -118,24 +181,30 @@
 
 // keep records that the flow is at the upstream id, as the hop says, unless a
 // newer record stands here already. It returns the record that holds. unsure
-// says that an earlier record may have been lost.
-func (e *Engine) keep(w *packetWork, id bundle.UpstreamID, unsure bool) Record {
+// says that an earlier record may have been lost. Whether it was made now is
+// returned too.
+func (e *Engine) keep(w *packetWork, id bundle.UpstreamID, unsure bool) (rec Record, fresh bool) {
 	hop := &w.p.Header.Hop
-	var rec Record
+	home := w.view.Member(peer.ID(hop.Home))
 	e.Flows.Update(&w.key, w.hash, func(r *Record, found bool) bool {
 		e.holds(r)
 		if !found || r.State != StateFirm || hop.Placed > r.Placed {
 			e.replace(r, told{upstream: id, placed: hop.Placed, unsure: unsure}, w.seconds)
-			r.Replicated = w.view.number
+			fresh = true
 			if peer.ID(hop.Home) != e.self {
 				r.Flags |= RecordBackup
 			}
+			if home != nil && home.ID != e.self {
+				// The home has proposed this upstream and notes that it did.
+				r.Other = home.Tag()
+				r.Flags |= RecordUnconfirmed
+			}
 		}
 		r.Seen = w.seconds
 		rec = *r
 		return true
 	})
-	return rec
+	return rec, fresh
 }
 
 // tellHome lets the home know which upstream holds the flow.
@@ -149,23 +218,6 @@
 	}
 }
 
-// tellReplicas lets the zones that neither home nor this daemon is in know of a
-// new flow. Nobody waits for it; the home's renewals make up for a lost datagram.
-func (e *Engine) tellReplicas(w *packetWork, r *Record) {
-	home := peer.ID(w.p.Header.Hop.Home)
-	self := w.view.Member(e.self)
-	for _, z := range w.view.Zones() {
-		m := w.view.Replica(w.hash, z, home)
-		if m == nil || m.ID == e.self || self != nil && self.Zone == z && home != e.self {
-			continue
-		}
-		h := w.plain()
-		h.Control = true
-		h.Hop = learnHop(home, r, geneve.FlagBackup)
-		w.send(m.Data, h, ip.Headers(w.p.Inner))
-	}
-}
-
 // tell sends a record without the packet's payload.
 func (e *Engine) tell(w *packetWork, to netip.AddrPort, r *Record, flags geneve.Flags) {
 	h := w.plain()
--- a/internal/connection/caller/home.go
+++ b/internal/connection/caller/home.go
@@ -25,6 +25,9 @@
 				return false
 			}
 		}
+		if r.State == StateTentative && r.Upstream == 0 && w.seconds > r.Told {
+			e.chooseAlone(w, r)
+		}
 		e.touch(w, r)
 		rec = *r
 		return true
@@ -34,14 +37,30 @@
 		return e.noRecord(w)
 	case rec.State == StateHeld:
 		return e.ask(w, &Record{})
+	case rec.State == StateTentative && rec.Upstream == 0:
+		return e.askPlacer(w, &rec)
 	}
-	if cause := e.admit(w, &rec); cause != CauseNone {
+	return e.decided(w, &rec)
+}
+
+// decided lets a call of a flow whose upstream is known or proposed through.
+func (e *Engine) decided(w *packetWork, rec *Record) Cause {
+	if cause := e.admit(w, rec); cause != CauseNone {
 		return cause
 	}
-	if rec.State == StateTentative || e.fenced(&rec) {
-		return e.ask(w, &rec)
+	if rec.State == StateTentative || e.fenced(rec) {
+		return e.ask(w, rec)
 	}
-	e.refill(w, &rec)
+	return e.forth(w, rec)
+}
+
+// forth sends a packet of a firm flow to its end, past those who keep the record
+// if it is time to renew that.
+func (e *Engine) forth(w *packetWork, rec *Record) Cause {
+	if w.mustRenew(rec) {
+		return e.refresh(w, rec)
+	}
+	e.refill(w, rec)
 	return e.deliver(w, rec.Upstream)
 }
 
@@ -64,12 +83,17 @@
 	if beyond && hold(w, r) {
 		return true
 	}
-	u := e.choose(w, 0)
-	if u == nil {
-		return false
+	var id bundle.UpstreamID
+	if p := w.view.Placer(w.service.VNI); p == nil || p.ID == e.self {
+		u := e.choose(w, 0)
+		if u == nil {
+			return false
+		}
+		id = u.ID
+		e.Board.Placed(id, w.now.Add(recentFlows))
 	}
 	e.uncount(r)
-	*r = Record{Upstream: u.ID, State: StateTentative, Placed: unixSeconds(w.now), Flags: RecordLocal}
+	*r = Record{Upstream: id, State: StateTentative, Placed: unixSeconds(w.now), Told: w.seconds, Flags: RecordLocal}
 	e.holds(r)
 	if beyond || w.view.MayBeLost(w.hash) {
 		r.Flags = RecordUnsure
@@ -78,6 +102,20 @@
 	return true
 }
 
+// chooseAlone chooses at the home itself for a flow whose placer gave no answer
+// to an earlier copy of its packet: the placer may be dead, or take this daemon
+// for dead.
+func (e *Engine) chooseAlone(w *packetWork, r *Record) {
+	if u := e.choose(w, 0); u != nil {
+		r.Upstream = u.ID
+		e.Board.Placed(u.ID, w.now.Add(recentFlows))
+	}
+}
+
+// recentFlows is how long a new flow counts at its placer by itself; after that
+// its home has told of it.
+const recentFlows = 4 * time.Second
+
 // heldSightings is how often the same message of a flow must come before a side
 // of a cut places it whose home is on the other side. A caller that reaches both
 // sides gets its answer from there before, most likely; one that reaches only
@@ -128,24 +166,45 @@
 	if e.fenced(r) && r.State == StateFirm {
 		h.Hop.Found = r.Upstream
 	}
-	if w.view.Recent || r.Upstream == 0 || e.fenced(r) {
+	if w.view.Recent || !h.Hop.Has(geneve.FlagPlace) || e.fenced(r) {
 		w.view.AddHolders(w.hash, &h.Hop)
 	} else {
-		w.view.AddNext(w.hash, &h.Hop)
+		w.view.AddReplicas(w.hash, &h.Hop)
 	}
 	if h.Hop.Has(geneve.FlagUnsure) {
 		w.view.AddAll(w.hash, &h.Hop)
 	}
-	if u := w.routing.Upstream(r.Upstream); u != nil {
-		if b := w.view.Backup(w.hash, u.Zone, e.self); b != nil {
-			h.Hop.MoveLast(uint64(b.ID))
-		}
-	}
 	w.p.Header.Hop = h.Hop
 	e.Counters.Asked.Add(1)
+	e.backupLast(w, r)
 	return e.passToHolder(w)
 }
 
+// backupLast puts the backup of the proposed upstream at the end of those who
+// are asked: it records the flow if nobody had it. The record here notes whom
+// the packet passes; the flow's first answer proves that it did.
+func (e *Engine) backupLast(w *packetWork, rec *Record) {
+	hop := &w.p.Header.Hop
+	u := w.routing.Upstream(hop.Upstream)
+	if u == nil {
+		return
+	}
+	b := w.view.Backup(w.hash, u.Zone, e.self)
+	if b == nil {
+		return
+	}
+	hop.MoveLast(uint64(b.ID))
+	if rec.State != StateTentative || w.answer {
+		return
+	}
+	e.Flows.Update(&w.key, w.hash, func(r *Record, found bool) bool {
+		if found && r.State == StateTentative {
+			r.Other, r.Told, r.Replicated = b.Tag(), w.seconds, w.view.number
+		}
+		return found
+	})
+}
+
 // homeAnswer lets an answer through to the caller only from the upstream that
 // holds the flow.
 func (e *Engine) homeAnswer(w *packetWork) Cause {
@@ -159,6 +218,10 @@
 		if r.State == StateHeld {
 			return true
 		}
+		if r.Upstream == from && r.State == StateTentative && r.Flags&(RecordUnsure|RecordBackup) == 0 && !e.fenced(r) {
+			// The upstream has seen the call, so that had passed the backup.
+			r.State = StateFirm
+		}
 		if r.Upstream == from && r.State != StateTentative {
 			if retried = e.retryTCP(w, r); retried {
 				rec = *r
@@ -183,8 +246,7 @@
 	if cause := e.answered(w, &rec); cause != CauseNone {
 		return cause
 	}
-	e.refill(w, &rec)
-	return e.deliver(w, rec.Upstream)
+	return e.forth(w, &rec)
 }
 
 // refill tells the flow's present backup its record if that was told to another
@@ -229,7 +291,7 @@
 
 // count adds a record to its upstream's load, once.
 func (e *Engine) count(r *Record) {
-	if r.Flags&RecordCounted != 0 || r.State == StateEnded {
+	if r.Flags&RecordCounted != 0 || r.State == StateEnded || r.Upstream == 0 {
 		return
 	}
 	r.Flags |= RecordCounted
--- a/internal/connection/caller/learn.go
+++ b/internal/connection/caller/learn.go
@@ -41,6 +41,7 @@
 	if sender != nil {
 		r.Other = sender.Tag()
 		r.Told = now
+		r.Flags &^= RecordUnconfirmed
 	}
 	if !hop.Has(geneve.FlagBackup) {
 		return
--- a/internal/connection/caller/requests.go
+++ b/internal/connection/caller/requests.go
@@ -106,6 +106,7 @@
 	}
 	load := e.Board.Load(rec.Upstream)
 	limit, reachable := int64(1), true
+	placed := rec.Upstream != 0
 	if u := w.routing.Upstream(rec.Upstream); u != nil {
 		limit = int64(u.Slots)
 		reachable = w.view.Reaches(u.Zone)
@@ -120,7 +121,7 @@
 		if found {
 			e.leave(r)
 		}
-		if reachable && load.Requests.Load() >= limit && e.isFirstCopy(w) {
+		if placed && reachable && load.Requests.Load() >= limit && e.isFirstCopy(w) {
 			cause = CauseRefused
 			return false
 		}
@@ -133,7 +134,7 @@
 			State:    RequestOpen,
 		}
 		e.Requests.open.Add(1)
-		if reachable {
+		if placed && reachable {
 			r.holdsSlot = true
 			load.Requests.Add(1)
 		}
--- a/internal/connection/caller/sweep.go
+++ b/internal/connection/caller/sweep.go
@@ -14,10 +14,16 @@
 // segment lifetime (RFC 9293, section 3.4.1) shortened as common systems do.
 const endedFor = 60
 
+// proposedFor keeps a proposal for as long as a caller repeats its first message
+// (RFC 7252, MAX_TRANSMIT_SPAN).
+const proposedFor = 60
+
 // SweepResult says how far a sweep of a shard got.
 type SweepResult struct {
-	// Told counts the records that others were told and haven't confirmed.
+	// Told counts the records that others were told and must confirm.
 	Told int
+	// Sent counts all that was told.
+	Sent int
 	// Whole is set if the budget sufficed for all of them.
 	Whole bool
 }
@@ -32,7 +38,7 @@
 	}
 	s := sweep{e: e, view: e.view.Load(), routing: t, now: e.seconds(now), budget: budget, out: out}
 	e.Flows.Visit(shard, s.visit)
-	result := SweepResult{Told: budget - s.budget, Whole: !s.short}
+	result := SweepResult{Told: s.told, Sent: budget - s.budget, Whole: !s.short}
 	return e.expire(now, shard, s.out), result
 }
 
@@ -43,6 +49,7 @@
 	routing *bundle.Routing
 	now     Seconds
 	budget  int
+	told    int
 	short   bool
 	out     []Output
 }
@@ -56,14 +63,17 @@
 		}
 		return false
 	}
-	if r.State != StateFirm {
-		return true
+	switch {
+	case r.State == StateFirm:
+		return s.place(k, r)
+	case r.State == StateTentative && r.Upstream != 0 && r.Other != 0 && s.leaving():
+		s.propose(k, r)
 	}
-	return s.place(k, r)
+	return true
 }
 
-// idle reports whether a record can go. A backup sees none of the flow's
-// packets, so it keeps the record until its home has stopped renewing it.
+// idle reports whether a record can go. A copy sees few of the flow's packets, so
+// it is kept until its home has stopped renewing it.
 func (s *sweep) idle(svc *bundle.ServiceRoute, r *Record) bool {
 	limit := Seconds(svc.IdleTimeout / time.Second)
 	if r.State == StateEnded {
@@ -72,16 +82,12 @@
 	if r.Flags&RecordBackup != 0 {
 		limit *= backupIdleFactor
 	}
+	if r.State == StateHeld || r.State == StateTentative && r.Other == 0 {
+		limit = proposedFor
+	}
 	return s.now > r.Seen+limit
 }
 
-// half the idle time, so a backup that hears nothing for twice that time has
-// lost the home or the flow.
-const (
-	backupIdleFactor = 2
-	renewDivisor     = 2
-)
-
 // place sees to it that home and backup both have the record. It returns false
 // for a record that has become no concern of this daemon.
 func (s *sweep) place(k *Key, r *Record) bool {
@@ -95,31 +101,29 @@
 		s.atHome(k, r, u, h)
 		return true
 	}
-	if home.Tag() != r.Other {
+	unconfirmed := r.Flags&RecordUnconfirmed != 0 && s.leaving()
+	if home.Tag() != r.Other || unconfirmed {
 		s.tell(k, r, home.Data, geneve.FlagConfirm)
 		return true
 	}
 	// A former holder's record isn't renewed. Kept, it could one day speak for a
 	// flow that was placed again meanwhile.
-	return s.view.Recent || s.keepsFor(h, home.ID)
+	return s.view.Recent || s.view.Keeps(h, home.ID)
 }
 
-// atHome tells the backup and the other zones what they lack.
+// atHome tells the backup and the other zones what they lack since members
+// changed.
 func (s *sweep) atHome(k *Key, r *Record, u *bundle.UpstreamRoute, h peer.FlowHash) {
-	renew := s.mustRenew(k, r)
-	if backup := s.view.Backup(h, u.Zone, s.view.Self); backup != nil && (renew || backup.Tag() != r.Other) {
+	if backup := s.view.Backup(h, u.Zone, s.view.Self); backup != nil && backup.Tag() != r.Other {
 		s.tell(k, r, backup.Data, geneve.FlagBackup|geneve.FlagConfirm)
 	}
-	if !renew && r.Replicated == s.view.number {
+	if r.Replicated == s.view.number {
 		return
 	}
 	next := s.view.previous != nil && r.Replicated == max(1, s.view.number-1)
 	for _, z := range s.view.Zones() {
 		m := s.view.Replica(h, z, s.view.Self)
-		if m == nil || z == u.Zone {
-			continue
-		}
-		if !renew && next && s.hadReplica(h, z, m) {
+		if m == nil || z == u.Zone || next && s.hadReplica(h, z, m) {
 			continue
 		}
 		s.tell(k, r, m.Data, geneve.FlagBackup)
@@ -129,28 +133,33 @@
 	}
 }
 
-// hadReplica reports whether m kept the zone's copy under the view before, so
-// that one change of a member doesn't have all flows told again.
-func (s *sweep) hadReplica(h peer.FlowHash, z bundle.Zone, m *peer.Member) bool {
-	old := s.view.previous.Replica(h, z, s.view.Self)
-	return old != nil && old.Tag() == m.Tag()
+// leaving reports whether this daemon hands its records over. The home of a
+// record that is unconfirmed may have another proposal, or none that holds.
+func (s *sweep) leaving() bool {
+	m := s.view.Member(s.view.Self)
+	return m != nil && m.State == peer.StateLeaving
 }
 
-// keepsFor reports whether this daemon keeps its zone's copy.
-func (s *sweep) keepsFor(h peer.FlowHash, home peer.ID) bool {
+// propose passes a proposal on that only this daemon may still know: a firm
+// record of the flow can have died with its backup.
+func (s *sweep) propose(k *Key, r *Record) {
+	h := k.Hash()
 	self := s.view.Member(s.view.Self)
-	if self == nil {
-		return true
+	home := s.view.Home(h)
+	for _, m := range []*peer.Member{home, s.view.Replica(h, self.Zone, home.ID)} {
+		if m == nil || m.ID == s.view.Self || s.budget <= 0 {
+			continue
+		}
+		s.tell(k, r, m.Data, 0)
+		s.out[len(s.out)-1].Header.Hop.Kind = geneve.KindPropose
 	}
-	m := s.view.Replica(h, self.Zone, home)
-	return m != nil && m.ID == s.view.Self
 }
 
-// mustRenew reports whether the flow went on for half of its idle time since
-// the backup last heard of it.
-func (s *sweep) mustRenew(k *Key, r *Record) bool {
-	limit := Seconds(s.routing.Service(k.VNI()).IdleTimeout / time.Second)
-	return r.Seen > r.Told+limit/renewDivisor
+// hadReplica reports whether m kept the zone's copy under the view before, so
+// that one change of a member doesn't have all flows told again.
+func (s *sweep) hadReplica(h peer.FlowHash, z bundle.Zone, m *peer.Member) bool {
+	old := s.view.previous.Replica(h, z, s.view.Self)
+	return old != nil && old.Tag() == m.Tag()
 }
 
 func (s *sweep) tell(k *Key, r *Record, to netip.AddrPort, flags geneve.Flags) {
@@ -163,6 +172,9 @@
 		return
 	}
 	s.budget--
+	if flags&geneve.FlagConfirm != 0 {
+		s.told++
+	}
 	s.out = append(s.out, Output{
 		To: to,
 		Header: geneve.Header{
--- a/internal/connection/caller/table.go
+++ b/internal/connection/caller/table.go
@@ -51,6 +51,9 @@
 	// RecordLocal marks a flow that this daemon has decided for since its first
 	// packet, so that it knows all its open requests.
 	RecordLocal
+	// RecordUnconfirmed marks a record whose home has proposed it but hasn't said
+	// that it holds.
+	RecordUnconfirmed
 )
 
 // Record is what is known of one flow: 32 bytes beside its key of 40.
--- a/internal/connection/geneve/hop.go
+++ b/internal/connection/geneve/hop.go
@@ -37,6 +37,14 @@
 	// KindAsk goes through the members that may hold the flow's record. One that
 	// has it delivers the packet and tells the home.
 	KindAsk
+	// KindChoose asks the placer of the service for an upstream.
+	KindChoose
+	// KindChosen brings the packet back to the home with the upstream chosen.
+	KindChosen
+	// KindRefresh renews the flow's record at all who keep it, on the packet's way.
+	KindRefresh
+	// KindPropose tells a proposal, as KindLearn tells a record.
+	KindPropose
 	// KindLearn tells a record and carries only the headers of a packet.
 	KindLearn
 	kindEnd
@@ -63,6 +71,8 @@
 	// FlagFoundUnsure says that the record in Found was made when every holder of
 	// an earlier one may have died.
 	FlagFoundUnsure
+	// FlagOverruled says that Upstream isn't what the home has proposed.
+	FlagOverruled
 )
 
 // Hop is the option between daemons.
--- a/internal/connection/peer/membership.go
+++ b/internal/connection/peer/membership.go
@@ -84,6 +84,7 @@
 	rng    *rand.Rand
 	self   Member
 	bundle bundle.Version
+	flows  []uint32
 	peers  map[ID]*record
 	// order holds the keys of peers, sorted, so that the same events and the same
 	// seed give the same messages. It is replaced, never changed in place.
@@ -158,6 +159,15 @@
 // SetBundle tells others which version this daemon has in force.
 func (m *Membership) SetBundle(v bundle.Version) { m.bundle = v }
 
+// SetFlows tells others how many flows this daemon is home of at each upstream.
+func (m *Membership) SetFlows(flows []uint32) { m.flows = flows }
+
+// HeardWithin is how long it takes at most, while nothing is lost, until each
+// member has heard from each other one.
+func (m *Membership) HeardWithin() time.Duration {
+	return m.cfg.ProbePeriod * time.Duration(len(m.peers)+1)
+}
+
 // Seed pings hosts of the platform's list that aren't members. The list lags,
 // so a host on it counts only once it has answered.
 func (m *Membership) Seed(hosts []netip.AddrPort) []Envelope {
@@ -494,6 +504,7 @@
 		Seq:     seq,
 		From:    m.self,
 		Bundle:  m.bundle,
+		Flows:   m.flows,
 		Updates: m.takeGossip(),
 	}}
 }
--- a/internal/connection/peer/message.go
+++ b/internal/connection/peer/message.go
@@ -29,9 +29,11 @@
 	// MaxUpdates is how many updates one message carries.
 	MaxUpdates = 4
 	// MaxMessageBytes is the size that no message exceeds.
-	MaxMessageBytes = 1200
+	MaxMessageBytes = 1400
 	macBytes        = 16
 	maxNameBytes    = 64
+	// MaxFlowCounts bounds Flows. It is more than the upstreams of one cell.
+	MaxFlowCounts = 400
 )
 
 // Message is what daemons send each other over UDP to find out who is there.
@@ -45,6 +47,9 @@
 	Target netip.AddrPort
 	// Bundle is the version that the sender has in force.
 	Bundle bundle.Version
+	// Flows counts the flows that the sender is home of at each upstream of that
+	// version, in the order of their identifiers.
+	Flows []uint32
 	// Updates are what the sender heard of other members.
 	Updates []Member
 }
@@ -69,7 +74,7 @@
 }
 
 func (m *Message) check() error {
-	if m.Kind == 0 || m.Kind >= kindEnd || len(m.Updates) > MaxUpdates {
+	if m.Kind == 0 || m.Kind >= kindEnd || len(m.Updates) > MaxUpdates || len(m.Flows) > MaxFlowCounts {
 		return ErrMessage
 	}
 	for i := range m.Updates {
@@ -96,7 +101,7 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "peer")
 	}
-	dec, err := cbor.DecOptions{MaxArrayElements: 16, MaxMapPairs: 16, MaxNestedLevels: 4}.DecMode()
+	dec, err := cbor.DecOptions{MaxArrayElements: MaxFlowCounts, MaxMapPairs: 16, MaxNestedLevels: 4}.DecMode()
 	return &Codec{key: key[:], enc: enc, dec: dec}, eris.Wrap(err, "peer")
 }
 
--- a/internal/connection/peer/view.go
+++ b/internal/connection/peer/view.go
@@ -117,6 +117,15 @@
 	return v.first(h, filter{not: home})
 }
 
+// placerSalt keeps the placer of a service apart from the homes of its flows.
+const placerSalt = 0x706c616365
+
+// Placer returns the member that chooses the upstreams for the new flows of a
+// service, so that one place knows all of them.
+func (v *View) Placer(s bundle.VNI) *Member {
+	return v.Home(FlowHash(mix(uint64(s) ^ placerSalt)))
+}
+
 // Replica returns the member of zone z that keeps a copy of a flow's record, so
 // that the zone knows the flow when it is cut off: the first in rank there
 // besides the home. In the upstream's zone that is the backup. It is nil if the
@@ -125,6 +134,16 @@
 	return v.first(h, filter{zone: z, not: home})
 }
 
+// Keeps reports whether this daemon keeps its zone's copy of a flow's record.
+func (v *View) Keeps(h FlowHash, home ID) bool {
+	self := v.byID[v.Self]
+	if self == nil {
+		return true
+	}
+	m := v.Replica(h, self.Zone, home)
+	return m != nil && m.ID == v.Self
+}
+
 // Zones returns the zones of the members, in a fixed order for this view.
 func (v *View) Zones() []bundle.Zone { return v.zones }
 
@@ -190,11 +209,13 @@
 	return best
 }
 
-// AddNext lists in hop the next in rank after this daemon. It is asked even if
-// nothing has changed here: it is home in the view of a member that wrongly
-// takes this daemon for dead, and may have placed the flow already.
-func (v *View) AddNext(h FlowHash, hop *geneve.Hop) {
-	v.addHolder(hop, v.first(h, filter{not: v.Self}))
+// AddReplicas lists in hop the members that keep the flow's record beside its
+// home: the first in rank of each zone. The next in rank of all is among them,
+// which is home in the view of a member that wrongly takes this one for dead.
+func (v *View) AddReplicas(h FlowHash, hop *geneve.Hop) {
+	for _, z := range v.zones {
+		v.addHolder(hop, v.Replica(h, z, v.Self))
+	}
 }
 
 // AddHolders lists in hop the members that may hold a record of the flow, this
--- a/internal/connection/upstream/board.go
+++ b/internal/connection/upstream/board.go
@@ -1,32 +1,58 @@
-// Package upstream knows the load of upstreams as this daemon sees it itself
-// and chooses one for a new flow.
+// Package upstream knows the load of upstreams, from what this daemon sees and
+// from what other members tell, and chooses one for a new flow.
 package upstream
 
 import (
+	"slices"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/fescueshed/fescueshed/internal/version/bundle"
 )
 
-// Load is what this daemon has in progress at one upstream. It is safe for
-// concurrent use.
+// MemberID identifies the member that told a count.
+type MemberID uint64
+
+// Load is what is known of the load of one upstream. It is safe for concurrent
+// use.
 type Load struct {
-	// Flows counts the flows that this daemon placed there.
+	// Flows counts the flows there that this daemon is home of.
 	Flows atomic.Int64
-	// Requests counts those let through and not yet answered.
+	// Requests counts those that it let through and that aren't answered yet.
 	Requests atomic.Int64
+	// heard is the sum of the flows that the other members are home of.
+	heard atomic.Int64
+	// recent counts flows that were placed lately and that no member tells yet.
+	recent atomic.Int64
+}
+
+// Total estimates the flows at the upstream over all members.
+func (l *Load) Total() int64 {
+	return l.Flows.Load() + l.heard.Load() + l.recent.Load()
 }
 
 // Board holds the loads of all upstreams. It is safe for concurrent use.
 type Board struct {
-	mu    sync.RWMutex
-	loads map[bundle.UpstreamID]*Load
+	// mu guards all below. It is a leaf: nothing is locked while it is held.
+	mu     sync.RWMutex
+	loads  map[bundle.UpstreamID]*Load
+	told   map[MemberID]map[bundle.UpstreamID]uint32
+	placed []placement
+}
+
+// placement is a flow that counts as recent until a time.
+type placement struct {
+	load  *Load
+	until time.Time
 }
 
 // NewBoard returns a board without loads.
 func NewBoard() *Board {
-	return &Board{loads: make(map[bundle.UpstreamID]*Load)}
+	return &Board{
+		loads: make(map[bundle.UpstreamID]*Load),
+		told:  make(map[MemberID]map[bundle.UpstreamID]uint32),
+	}
 }
 
 // Load returns the load of an upstream and makes it at first use.
@@ -39,9 +65,69 @@
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if l = b.loads[id]; l == nil {
+	return b.load(id)
+}
+
+func (b *Board) load(id bundle.UpstreamID) *Load {
+	l := b.loads[id]
+	if l == nil {
 		l = &Load{}
 		b.loads[id] = l
 	}
 	return l
 }
+
+// Heard takes in how many flows another member is home of, by upstream in the
+// order of ids.
+func (b *Board) Heard(from MemberID, ids []bundle.UpstreamID, flows []uint32) {
+	if len(ids) != len(flows) {
+		return // Told of another version of the bundle.
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	old := b.told[from]
+	if old == nil {
+		old = make(map[bundle.UpstreamID]uint32, len(ids))
+		b.told[from] = old
+	}
+	for i, id := range ids {
+		b.load(id).heard.Add(int64(flows[i]) - int64(old[id]))
+		old[id] = flows[i]
+	}
+}
+
+// Keep forgets what members told that aren't among those given.
+func (b *Board) Keep(members []MemberID) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for m, flows := range b.told {
+		if slices.Contains(members, m) {
+			continue
+		}
+		for id, n := range flows {
+			b.load(id).heard.Add(-int64(n))
+		}
+		delete(b.told, m)
+	}
+}
+
+// Placed counts a flow as recent until its home will have told of it.
+func (b *Board) Placed(id bundle.UpstreamID, until time.Time) {
+	l := b.Load(id)
+	l.recent.Add(1)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.placed = append(b.placed, placement{load: l, until: until})
+}
+
+// Expire takes back what has been recent for long enough.
+func (b *Board) Expire(now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	n := 0
+	for n < len(b.placed) && now.After(b.placed[n].until) {
+		b.placed[n].load.recent.Add(-1)
+		n++
+	}
+	b.placed = slices.Delete(b.placed, 0, n)
+}
--- a/internal/connection/upstream/policy.go
+++ b/internal/connection/upstream/policy.go
@@ -1,6 +1,10 @@
 package upstream
 
-import "github.com/fescueshed/fescueshed/internal/version/bundle"
+import (
+	"math"
+
+	"github.com/fescueshed/fescueshed/internal/version/bundle"
+)
 
 // Candidate is an upstream that may take a new flow, with its load.
 type Candidate struct {
@@ -8,35 +12,37 @@
 	Load  *Load
 }
 
-// Policy chooses among candidates. seed differs from flow to flow, so that
-// several daemons with the same knowledge don't all choose the same upstream.
-// It returns nil if none may take the flow.
+// Policy chooses among candidates. seed differs from flow to flow, so that equal
+// candidates take turns. It returns nil if none may take the flow.
 type Policy interface {
 	Choose(candidates []Candidate, seed uint64) *bundle.UpstreamRoute
 }
 
-// LeastLoaded takes the upstream with the smallest share of its connections and
-// slots in use. Ties are broken by the seed.
+// LeastLoaded takes the upstream with the fewest flows for each of its slots,
+// over all members. Ties are broken by the requests in progress, then the seed.
 type LeastLoaded struct{}
 
+// requestShare keeps requests in progress below the weight of a whole flow.
+const requestShare = 1.0 / 1024
+
 // Choose implements Policy.
 func (LeastLoaded) Choose(candidates []Candidate, seed uint64) *bundle.UpstreamRoute {
-	var best *bundle.UpstreamRoute
-	var bestCost float64
-	if len(candidates) == 0 {
+	n := len(candidates)
+	if n == 0 {
 		return nil
 	}
-	start := int(seed % uint64(len(candidates)))
+	var best *bundle.UpstreamRoute
+	least := math.Inf(1)
+	start := int(seed % uint64(n))
 	for i := range candidates {
-		c := &candidates[(start+i)%len(candidates)]
-		flows := c.Load.Flows.Load()
+		c := &candidates[(start+i)%n]
+		flows := c.Load.Total()
 		if c.Route.Drain || flows >= int64(c.Route.Connections) {
 			continue
 		}
-		busy := float64(c.Load.Requests.Load()) / float64(c.Route.Slots)
-		cost := busy + float64(flows)/float64(c.Route.Slots)
-		if best == nil || cost < bestCost {
-			best, bestCost = c.Route, cost
+		cost := (float64(flows) + requestShare*float64(c.Load.Requests.Load())) / float64(c.Route.Slots)
+		if cost < least {
+			best, least = c.Route, cost
 		}
 	}
 	return best
--- a/internal/process/daemon/control.go
+++ b/internal/process/daemon/control.go
@@ -11,6 +11,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/fescueshed/fescueshed/internal/connection/peer"
+	"github.com/fescueshed/fescueshed/internal/connection/upstream"
 	"github.com/fescueshed/fescueshed/internal/version/bundle"
 )
 
@@ -76,6 +77,7 @@
 	c.do(func(m *peer.Membership) []peer.Envelope {
 		return m.Receive(time.Now(), from, msg)
 	})
+	c.d.engine.Heard(upstream.MemberID(msg.From.ID), msg.Bundle, msg.Flows)
 	c.d.bundles.heard(msg.Bundle, msg.From.RPC)
 }
 
@@ -89,6 +91,7 @@
 		view = c.members.View()
 		old := c.d.engine.View()
 		c.d.engine.SetView(view)
+		c.d.engine.Board.Keep(memberIDs(view))
 		logChanges(old, view)
 	}
 	c.mu.Unlock()
@@ -113,7 +116,21 @@
 }
 
 func (c *control) tick(now time.Time) {
-	c.do(func(m *peer.Membership) []peer.Envelope { return m.Tick(now) })
+	c.d.engine.ExpireRecent(now)
+	v, flows := c.d.engine.FlowCounts()
+	c.do(func(m *peer.Membership) []peer.Envelope {
+		m.SetBundle(v)
+		m.SetFlows(flows)
+		return m.Tick(now)
+	})
+}
+
+func memberIDs(v *peer.View) []upstream.MemberID {
+	out := make([]upstream.MemberID, 0, len(v.Members))
+	for i := range v.Members {
+		out = append(out, upstream.MemberID(v.Members[i].ID))
+	}
+	return out
 }
 
 func (c *control) setBundle(v bundle.Version) {
--- a/internal/process/daemon/sweeper.go
+++ b/internal/process/daemon/sweeper.go
@@ -33,7 +33,7 @@
 	budget := max(1, s.d.cfg.HandoverPerSecond*int(sweepPeriod)/int(time.Second))
 	for {
 		r := s.sweep(now, budget)
-		budget -= r.Told
+		budget -= r.Sent
 		if s.passes == 0 || budget <= 0 || s.shard == 0 {
 			return
 		}
--- a/internal/standin/upstream/upstream.go
+++ b/internal/standin/upstream/upstream.go
@@ -39,6 +39,12 @@
 	FeedPeriod time.Duration
 }
 
+// The server's transmission parameters for notifications (RFC 7252, section 4.8).
+const (
+	ackTimeout     = time.Second
+	maxRetransmits = 4
+)
+
 // queuePerSlot is how many requests may wait for each slot before more are shed.
 const queuePerSlot = 4
 
@@ -71,7 +77,8 @@
 		cancel()
 		return nil, nil, eris.Wrap(err, "stand-in upstream")
 	}
-	s := udp.NewServer(options.WithMux(mux.HandlerFunc(u.serve)), options.WithErrors(func(error) {}))
+	s := udp.NewServer(options.WithMux(mux.HandlerFunc(u.serve)), options.WithErrors(func(error) {}),
+		options.WithTransmission(1, ackTimeout, maxRetransmits))
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
--- a/internal/version/bundle/routing.go
+++ b/internal/version/bundle/routing.go
@@ -1,7 +1,9 @@
 package bundle
 
 import (
+	"maps"
 	"net/netip"
+	"slices"
 	"time"
 )
 
@@ -12,6 +14,7 @@
 	services  map[VNI]*ServiceRoute
 	upstreams map[UpstreamID]*UpstreamRoute
 	byAddress map[netip.Addr]*UpstreamRoute
+	ids       []UpstreamID
 }
 
 // ServiceRoute is one service of a Routing.
@@ -51,6 +54,7 @@
 	for i := range b.Services {
 		t.addService(&b.Services[i])
 	}
+	t.ids = slices.Sorted(maps.Keys(t.upstreams))
 	if prev != nil {
 		t.keepRemoved(prev)
 	}
@@ -113,6 +117,12 @@
 	}
 }
 
+// UpstreamIDs returns the upstreams that the bundle names, in an order that all
+// daemons with the same version share. The caller must not change it.
+func (t *Routing) UpstreamIDs() []UpstreamID {
+	return t.ids
+}
+
 // Service returns the service of a VNI, or nil.
 func (t *Routing) Service(v VNI) *ServiceRoute {
 	return t.services[v]
