--- /dev/null
+++ b/cmd/fescueshed/capacity.go
@@ -0,0 +1,21 @@
+package main
+
+import (
+	"encoding/json"
+	"os"
+
+	"github.com/fescueshed/fescueshed/internal/process/capacity"
+)
+
+type capacityCommand struct {
+	JSON bool `help:"Print JSON."`
+}
+
+// Run measures and prints the slopes and what follows from them.
+func (c *capacityCommand) Run() error {
+	r := capacity.Measure()
+	if c.JSON {
+		return json.NewEncoder(os.Stdout).Encode(r)
+	}
+	return r.Print(os.Stdout)
+}
--- a/cmd/fescueshed/main.go
+++ b/cmd/fescueshed/main.go
@@ -20,6 +20,7 @@
 	Bundle   bundleCommands  `cmd:"" help:"Prepare, approve and roll bundles."`
 	Key      keyCommands     `cmd:"" help:"Make and show operators' keys."`
 	Status   statusCommand   `cmd:"" help:"Show what a balancer knows: members, upstreams, load, drops."`
+	Capacity capacityCommand `cmd:"" help:"Measure what the parts cost and work out the size to design for."`
 	Check    checkCommand    `cmd:"" help:"Check settings and bundles and print all findings."`
 }
 
--- a/internal/connection/caller/cluster_test.go
+++ b/internal/connection/caller/cluster_test.go
@@ -455,7 +455,8 @@
 	k := caller.KeyOf(r.vni, &p, false)
 	v := c.nodes[0].engine.View()
 	home := c.homeOf(r)
-	out := []*node{home}
+	out := make([]*node, 1, 1+len(zones))
+	out[0] = home
 	for _, z := range zones {
 		out = append(out, c.nodeAt(v.Replica(k.Hash(), z, home.member.ID).Data.Addr()))
 	}
--- a/internal/connection/caller/sweep.go
+++ b/internal/connection/caller/sweep.go
@@ -101,14 +101,15 @@
 		s.atHome(k, r, u, h)
 		return true
 	}
-	unconfirmed := r.Flags&RecordUnconfirmed != 0 && s.leaving()
+	keeps := s.view.Keeps(h, home.ID)
+	unconfirmed := r.Flags&RecordUnconfirmed != 0 && (s.leaving() || !keeps)
 	if home.Tag() != r.Other || unconfirmed {
 		s.tell(k, r, home.Data, geneve.FlagConfirm)
 		return true
 	}
 	// A former holder's record isn't renewed. Kept, it could one day speak for a
 	// flow that was placed again meanwhile.
-	return s.view.Recent || s.view.Keeps(h, home.ID)
+	return s.view.Recent || keeps
 }
 
 // atHome tells the backup and the other zones what they lack since members
--- a/internal/connection/peer/membership_test.go
+++ b/internal/connection/peer/membership_test.go
@@ -7,37 +7,38 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/fescueshed/fescueshed/internal/connection/peer"
+	"github.com/fescueshed/fescueshed/internal/standin/links"
 )
 
 var _ = Describe("Membership", func() {
 	It("finds all members from a list that names a few", func() {
-		w := newNetwork(9, 1)
-		Expect(w.until(5*time.Second, w.agreed)).To(BeNumerically("<", 5*time.Second))
+		w := links.New(9, 1)
+		Expect(w.Until(5*time.Second, w.Agreed)).To(BeNumerically("<", 5*time.Second))
 	})
 
 	// A caller waits longer than for one retransmission. A balancer dies without
 	// notice and the others go on sending to it.
 	It("finds a dead member within two seconds at nine members", func() {
 		for seed := range uint64(20) {
-			w := newNetwork(9, seed)
-			w.until(10*time.Second, w.agreed)
-			w.run(time.Second)
-			w.members[4].up = false
-			Expect(w.until(5*time.Second, w.agreed)).To(BeNumerically("<", 2*time.Second), "seed %d", seed)
+			w := links.New(9, seed)
+			w.Until(10*time.Second, w.Agreed)
+			w.Run(time.Second)
+			w.Members[4].Up = false
+			Expect(w.Until(5*time.Second, w.Agreed)).To(BeNumerically("<", 2*time.Second), "seed %d", seed)
 		}
 	})
 
 	// Sessions move about for nothing. Datagrams are lost and processes are
 	// paused for a moment, and members that live are taken for dead.
 	It("takes no member for dead in an hour of loss and short pauses", func() {
-		w := newNetwork(9, 3)
-		w.until(10*time.Second, w.agreed)
-		w.run(2 * time.Second)
-		w.loss = 0.01
+		w := links.New(9, 3)
+		w.Until(10*time.Second, w.Agreed)
+		w.Run(2 * time.Second)
+		w.Loss = 0.01
 		for range 3600 {
-			w.members[w.rng.IntN(9)].pausedUntil = w.now.Add(100 * time.Millisecond)
-			w.run(time.Second)
-			for _, m := range w.members {
+			w.Members[w.Rng.IntN(9)].PausedUntil = w.Now.Add(100 * time.Millisecond)
+			w.Run(time.Second)
+			for _, m := range w.Members {
 				Expect(m.View().Members).To(HaveLen(9))
 				Expect(m.View().Lost).To(BeEmpty())
 			}
@@ -47,11 +48,11 @@
 	// A flow is placed twice. A host is killed and is back before a probe failed;
 	// the others must learn that its records are lost.
 	It("tells a restarted host from its predecessor", func() {
-		w := newNetwork(9, 4)
-		w.until(10*time.Second, w.agreed)
-		w.boot(w.members[2])
-		w.run(3 * time.Second)
-		for i, m := range w.members {
+		w := links.New(9, 4)
+		w.Until(10*time.Second, w.Agreed)
+		w.Boot(w.Members[2])
+		w.Run(3 * time.Second)
+		for i, m := range w.Members {
 			if i != 2 {
 				Expect(m.View().Members).To(HaveLen(9))
 				Expect(m.View().Lost).To(HaveLen(1), "member %d", i)
@@ -60,37 +61,37 @@
 	})
 
 	It("serves on in each zone of a cut, and finds itself whole after it", func() {
-		w := newNetwork(9, 5)
-		w.until(10*time.Second, w.agreed)
-		w.cut = func(a, b *member) bool { return a.self.Zone != b.self.Zone }
-		w.run(10 * time.Second)
-		for _, m := range w.members {
+		w := links.New(9, 5)
+		w.Until(10*time.Second, w.Agreed)
+		w.Cut = func(a, b *links.Member) bool { return a.Host.Zone != b.Host.Zone }
+		w.Run(10 * time.Second)
+		for _, m := range w.Members {
 			Expect(m.View().Members).To(HaveLen(3))
 			Expect(m.View().CutZones).To(HaveLen(2))
 		}
-		w.cut = nil
-		Expect(w.until(20*time.Second, w.agreed)).To(BeNumerically("<", 20*time.Second))
-		w.run(time.Second)
-		for _, m := range w.members {
+		w.Cut = nil
+		Expect(w.Until(20*time.Second, w.Agreed)).To(BeNumerically("<", 20*time.Second))
+		w.Run(time.Second)
+		for _, m := range w.Members {
 			Expect(m.View().Lost).To(BeEmpty(), "nobody restarted, so nothing was lost")
 			Expect(m.View().CutZones).To(BeEmpty())
 		}
 	})
 
 	It("shows a leaving member as leaving everywhere, and then as gone without loss", func() {
-		w := newNetwork(9, 6)
-		w.until(10*time.Second, w.agreed)
-		m := w.members[3]
-		w.send(m, m.Leave(w.now))
-		w.run(time.Second)
-		for _, o := range w.members {
-			Expect(o.View().Member(m.self.ID).State).To(Equal(peer.StateLeaving))
+		w := links.New(9, 6)
+		w.Until(10*time.Second, w.Agreed)
+		m := w.Members[3]
+		w.Send(m, m.Leave(w.Now))
+		w.Run(time.Second)
+		for _, o := range w.Members {
+			Expect(o.View().Member(m.Host.ID).State).To(Equal(peer.StateLeaving))
 		}
-		w.send(m, m.Left(w.now))
-		w.run(100 * time.Millisecond)
-		m.up = false
-		w.run(5 * time.Second)
-		for _, o := range w.members {
+		w.Send(m, m.Left(w.Now))
+		w.Run(100 * time.Millisecond)
+		m.Up = false
+		w.Run(5 * time.Second)
+		for _, o := range w.Members {
 			if o != m {
 				Expect(o.View().Members).To(HaveLen(8))
 				Expect(o.View().Lost).To(BeEmpty())
@@ -100,16 +101,16 @@
 
 	It("costs each member less than 3 KB/s at any size", func() {
 		for _, n := range []int{9, 32, 100} {
-			w := newNetwork(n, 7)
-			w.until(30*time.Second, w.agreed)
-			w.run(5 * time.Second)
-			for _, m := range w.members {
-				m.bytes = 0
+			w := links.New(n, 7)
+			w.Until(30*time.Second, w.Agreed)
+			w.Run(5 * time.Second)
+			for _, m := range w.Members {
+				m.Bytes = 0
 			}
-			w.measured = true
-			w.run(20 * time.Second)
-			for _, m := range w.members {
-				Expect(m.bytes/20).To(BeNumerically("<", 3000), "%d members", n)
+			w.Measured = true
+			w.Run(20 * time.Second)
+			for _, m := range w.Members {
+				Expect(m.Bytes/20).To(BeNumerically("<", 3000), "%d members", n)
 			}
 		}
 	})
@@ -117,8 +118,8 @@
 
 var _ = Describe("Codec", func() {
 	message := func() *peer.Message {
-		w := newNetwork(1, 1)
-		return &peer.Message{Kind: peer.KindPing, From: w.members[0].Self()}
+		w := links.New(1, 1)
+		return &peer.Message{Kind: peer.KindPing, From: w.Members[0].Membership.Self()}
 	}
 	changed := map[string]func(b []byte) []byte{
 		"one bit":   func(b []byte) []byte { b[3] ^= 1; return b },
