internal/connection/caller: a copy of a doubtful proposal keeps its doubt

Cause: one of some 15,000 random sequences with cuts ran a POST twice: a copy of a proposal made on the side that mustn't run POSTs was found and taken for a record without doubt. Change: the doubt goes along with the copy. Before: the new test fails (flow 5004), sequence red. After: green.

--- a/internal/connection/caller/cut_test.go
+++ b/internal/connection/caller/cut_test.go
@@ -8,6 +8,7 @@
 	. "github.com/onsi/gomega"
 	"github.com/plgd-dev/go-coap/v3/message/codes"
 
+	"github.com/fescueshed/fescueshed/internal/connection/caller"
 	"github.com/fescueshed/fescueshed/internal/connection/peer"
 	"github.com/fescueshed/fescueshed/internal/version/bundle"
 )
@@ -158,4 +159,48 @@
 		}
 		Expect(served).To(BeNumerically(">", 10))
 	})
+
+	// A booking runs on both sides of a cut. One side proposed an upstream for a
+	// new flow that may be the other side's, and a copy of that proposal, found
+	// later, was taken for a record without doubt.
+	It("doesn't forget the doubt of a proposal when only a copy of it is found", func() {
+		found := 0
+		for flow := uint16(5000); flow < 5060; flow++ {
+			r := request1(flow, codes.POST)
+			if c.homeOf(r).member.Zone != "a" {
+				continue
+			}
+			c.cut()
+			home := c.sideHome(r)
+			for _, n := range c.side("b") {
+				if n != home {
+					c.leaveCopy(n, r, "orders-1")
+				}
+			}
+			c.answer(home, "orders-1", r)
+			Expect(c.holders(r)).NotTo(BeEmpty(), "the answer brings the copy back")
+			Expect(c.call(home, r)).To(BeEmpty(), "flow %d", flow)
+			found++
+			c.heal()
+		}
+		Expect(found).To(BeNumerically(">", 10))
+	})
 })
+
+// sideHome returns the node that decides for a flow on the side without zone a.
+func (c *cluster) sideHome(r request) *node {
+	k := keyOf(r.flow)
+	return c.nodeAt(c.side("b")[0].engine.View().Home(k.Hash()).Data.Addr())
+}
+
+// leaveCopy gives a node the copy of a proposal that was made in doubt.
+func (c *cluster) leaveCopy(n *node, r request, upstream string) {
+	k := keyOf(r.flow)
+	n.engine.Flows.Update(&k, k.Hash(), func(rec *caller.Record, _ bool) bool {
+		*rec = caller.Record{
+			Upstream: bundle.UpstreamIDOf("orders", upstream), State: caller.StateTentative,
+			Flags: caller.RecordBackup | caller.RecordUnsure, Other: 1, Placed: uint32(c.now.Unix()),
+		}
+		return true
+	})
+}
--- a/internal/connection/caller/holder.go
+++ b/internal/connection/caller/holder.go
@@ -22,7 +22,8 @@
 		yield(hop, &r)
 	case found && r.isCopy() && hop.Found == 0:
 		// The flow's first packet went past here; nobody may know more beyond a cut.
-		hop.Found, hop.Placed = r.Upstream, 0
+		offer(hop, &r)
+		hop.Placed = 0
 	}
 	if hop.Has(geneve.FlagPlace) && hop.Found == 0 && hop.NumHolders > 0 && !w.answer && w.view.Keeps(w.hash, peer.ID(hop.Home)) {
 		e.copyProposal(w)
