--- a/cmd/try/failure.go
+++ b/cmd/try/failure.go
@@ -37,6 +37,7 @@
 		"kill-during-handover":    {"a balancer is killed while it hands its records over", killLeaving},
 		"zone-cut":                {"a zone is cut off from the others for six seconds and healed", zoneCut},
 		"balancer-boot-in-outage": {"a new balancer joins while the platform is down", bootInOutage},
+		"upstream-drain":          {"a bundle is rolled that drains two upstreams", drain},
 		"platform-down":           {"the platform's service is down from then on", platformDown},
 	}
 }
@@ -276,3 +277,19 @@
 	t.say("%s joined without the platform", b.name)
 	return t.setRouted(ctx, b, true)
 }
+
+// drain rolls a second bundle through the operators' commands.
+func drain(ctx context.Context, t *trial) error {
+	if err := pause(ctx, settleTime); err != nil {
+		return err
+	}
+	b := t.deploy.bundle()
+	for i := range b.Services {
+		b.Services[i].Upstreams[0].Drain = true
+	}
+	src, err := json.Marshal(b)
+	if err != nil {
+		return eris.Wrap(err, "bundle")
+	}
+	return t.rollContent(ctx, src)
+}
--- a/internal/connection/caller/guard_test.go
+++ b/internal/connection/caller/guard_test.go
@@ -6,6 +6,8 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 	"github.com/plgd-dev/go-coap/v3/message/codes"
+
+	"github.com/fescueshed/fescueshed/internal/version/bundle"
 )
 
 var _ = Describe("A home", func() {
@@ -66,4 +68,24 @@
 		c.sweep()
 		Expect(c.told).To(Equal(told))
 	})
+
+	// An upstream that leaves gets new flows for minutes, and its open ones are cut
+	// off. A bundle drains it while balancers place by what they knew before.
+	It("places no new flow at a draining upstream and leaves its open ones there", func() {
+		u := c.exchange(c.nodes[0], post)
+		b := testBundle()
+		for i := range b.Services[0].Upstreams {
+			b.Services[0].Upstreams[i].Drain = b.Services[0].Upstreams[i].Name == u[0]
+		}
+		c.routing = bundle.NewRouting(2, b, c.routing)
+		for _, n := range c.nodes {
+			n.engine.SetRouting(c.routing)
+		}
+		for flow := range uint16(60) {
+			r := post
+			r.flow = 7000 + flow
+			Expect(c.exchange(c.nodes[int(flow)%9], r)).NotTo(Equal(u))
+		}
+		Expect(c.exchange(c.nodes[3], next(2))).To(Equal(u))
+	})
 })
--- a/internal/connection/peer/membership.go
+++ b/internal/connection/peer/membership.go
@@ -116,26 +116,6 @@
 	at time.Time
 }
 
-type rumor struct {
-	Member
-	copies int
-}
-
-// probe is the one probe in progress.
-type probe struct {
-	target   ID
-	seq      uint32
-	at       time.Time
-	indirect bool
-}
-
-// relay is a probe made for another member.
-type relay struct {
-	to  netip.AddrPort
-	seq uint32
-	at  time.Time
-}
-
 // NewMembership returns a membership of which self is the only member.
 func NewMembership(cfg Config, self Member, rng *rand.Rand) *Membership {
 	self.State = StateAlive
@@ -221,92 +201,6 @@
 	return out
 }
 
-// follow goes on with the probe in progress: after one timeout it asks helpers,
-// after the next it suspects the member.
-func (m *Membership) follow(now time.Time) []Envelope {
-	if m.probe.target == 0 || now.Sub(m.probe.at) < m.cfg.ProbeTimeout {
-		return nil
-	}
-	r := m.peers[m.probe.target]
-	if r == nil || !r.present() {
-		m.probe = probe{}
-		return nil
-	}
-	if !m.probe.indirect {
-		m.probe.indirect = true
-		m.probe.at = now
-		return m.askHelpers(r)
-	}
-	m.probe = probe{}
-	if r.State == StateAlive || r.State == StateLeaving {
-		suspect := r.Member
-		suspect.State = StateSuspect
-		m.apply(suspect, now)
-	}
-	return nil
-}
-
-func (m *Membership) askHelpers(target *record) []Envelope {
-	var out []Envelope
-	ids := slices.Clone(m.order)
-	m.rng.Shuffle(len(ids), func(i, j int) { ids[i], ids[j] = ids[j], ids[i] })
-	for _, id := range ids {
-		r := m.peers[id]
-		if len(out) == m.cfg.Helpers {
-			break
-		}
-		if id == target.ID || r.State != StateAlive {
-			continue
-		}
-		e := m.envelope(r.Control, KindPingRequest, m.probe.seq)
-		e.Message.Target = target.Control
-		out = append(out, e)
-	}
-	// The direct way is tried again too: one lost datagram is no failure.
-	e := m.envelope(target.Control, KindPing, m.probe.seq)
-	e.FreshPort = true
-	return append(out, e)
-}
-
-// startProbe pings the member whose turn it is. All present members stand in a
-// ring, and in each period everyone probes the one that is a common distance
-// away, so each member is probed once a period. If everyone chose by chance,
-// a dead member would now and then be probed by nobody for a second.
-func (m *Membership) startProbe(now time.Time) []Envelope {
-	ring := []ID{m.self.ID}
-	for _, id := range m.order {
-		if m.peers[id].present() {
-			ring = append(ring, id)
-		}
-	}
-	if len(ring) == 1 {
-		return nil
-	}
-	slices.Sort(ring)
-	round := uint64(now.UnixNano()) / uint64(m.cfg.ProbePeriod)
-	distance := 1 + round%uint64(len(ring)-1)
-	place := uint64(slices.Index(ring, m.self.ID))
-	target := ring[(place+distance)%uint64(len(ring))]
-	e := m.ping(m.peers[target].Control)
-	m.probe = probe{target: target, seq: e.Message.Seq, at: now}
-	return []Envelope{e}
-}
-
-// probeDead pings one member that is out of reach, so that both sides of a cut
-// find each other again without the platform.
-func (m *Membership) probeDead() []Envelope {
-	var dead []ID
-	for _, id := range m.order {
-		if m.peers[id].State == StateDead {
-			dead = append(dead, id)
-		}
-	}
-	if len(dead) == 0 {
-		return nil
-	}
-	return []Envelope{m.ping(m.peers[dead[m.rng.IntN(len(dead))]].Control)}
-}
-
 // expire turns suspicion into death and forgets what is long past.
 func (m *Membership) expire(now time.Time) {
 	for _, id := range m.order {
@@ -375,123 +269,12 @@
 	return out
 }
 
-func (m *Membership) acknowledged(msg *Message) []Envelope {
-	if msg.Seq == m.probe.seq {
-		m.probe = probe{}
-	}
-	r, ok := m.relays[msg.Seq]
-	if !ok {
-		return nil
-	}
-	delete(m.relays, msg.Seq)
-	e := m.envelope(r.to, KindAck, r.seq)
-	e.Message.Target = msg.From.Control
-	e.Message.Updates = append([]Member{msg.From}, e.Message.Updates[:min(len(e.Message.Updates), MaxUpdates-1)]...)
-	return []Envelope{e}
-}
-
-// apply takes in what was said of a member, by itself or by another.
-func (m *Membership) apply(u Member, now time.Time) {
-	if u.ID == m.self.ID {
-		m.refute(u)
-		return
-	}
-	r := m.peers[u.ID]
-	if r == nil {
-		if u.State == StateDead || u.State == StateLeft {
-			return
-		}
-		m.add(u, now)
-		m.spread(u)
-		m.touch(now)
-		return
-	}
-	if u.Boot != r.Boot && u.Incarnation > r.Incarnation && r.present() {
-		// The host restarted before its death was noticed: what it held is lost.
-		m.noteLost(r.Member, now)
-	}
-	if !overrules(&u, &r.Member) {
-		return
-	}
-	if u.State == StateDead && r.present() {
-		m.noteLost(r.Member, now)
-	}
-	if u.State == StateAlive && r.State == StateDead && u.Boot == r.Boot {
-		m.noteFound(u)
-	}
-	moves := holds(u.State) != holds(r.State) || u.Boot != r.Boot
-	if u.Boot != r.Boot || !r.present() {
-		r.fresh, r.joined = true, now
-	}
-	r.Member = u
-	r.since = now
-	m.spread(u)
-	m.epoch++
-	if moves {
-		m.touch(now)
-	}
-}
-
-// holds groups the states between which the homes of flows move: a suspicion
-// that is refuted moves none.
-func holds(s State) State {
-	if s == StateSuspect {
-		return StateAlive
-	}
-	return s
-}
-
-// overrules reports whether u says more than what is known: a higher
-// incarnation, or a later state at the same one.
-func overrules(u, known *Member) bool {
-	if u.Incarnation != known.Incarnation {
-		return u.Incarnation > known.Incarnation
-	}
-	return u.State > known.State
-}
-
-// refute answers a claim about this daemon that isn't true. A claim from an
-// earlier run of it, or of its death, is overruled by a higher incarnation.
-func (m *Membership) refute(u Member) {
-	if u.Incarnation < m.self.Incarnation || u.Boot == m.self.Boot && u.State == m.self.State {
-		return
-	}
-	if u.State <= m.self.State && u.Incarnation == m.self.Incarnation && u.Boot == m.self.Boot {
-		return
-	}
-	m.self.Incarnation = u.Incarnation + 1
-	m.spread(m.self)
-	m.epoch++
-}
-
-func (m *Membership) noteLost(l Member, now time.Time) {
-	m.lost = append(m.lost, lostMember{Member: l, at: now})
-	m.epoch++
-}
-
-// noteFound takes back the loss of a member that was only out of reach.
-func (m *Membership) noteFound(u Member) {
-	m.lost = slices.DeleteFunc(m.lost, func(l lostMember) bool { return l.ID == u.ID && l.Boot == u.Boot })
-}
-
 func (m *Membership) touch(now time.Time) {
 	m.changed = now
 	m.unsettled = true
 	m.epoch++
 }
 
-// spread passes an update on with the next messages, in place of older ones of
-// the same member.
-func (m *Membership) spread(u Member) {
-	m.gossip = slices.DeleteFunc(m.gossip, func(r rumor) bool { return r.ID == u.ID })
-	m.gossip = append([]rumor{{Member: u, copies: m.cfg.GossipCopies}}, m.gossip...)
-}
-
-func (m *Membership) ping(to netip.AddrPort) Envelope {
-	m.seq++
-	return m.envelope(to, KindPing, m.seq)
-}
-
 func (m *Membership) envelope(to netip.AddrPort, k Kind, seq uint32) Envelope {
 	msg := Message{
 		Kind:    k,
@@ -506,19 +289,6 @@
 	return Envelope{To: to, Message: msg}
 }
 
-func (m *Membership) takeGossip() []Member {
-	var out []Member
-	for i := range m.gossip {
-		if len(out) == MaxUpdates {
-			break
-		}
-		out = append(out, m.gossip[i].Member)
-		m.gossip[i].copies--
-	}
-	m.gossip = slices.DeleteFunc(m.gossip, func(r rumor) bool { return r.copies <= 0 })
-	return out
-}
-
 func (m *Membership) add(u Member, now time.Time) {
 	m.peers[u.ID] = &record{Member: u, since: now, fresh: true, joined: now}
 	m.reorder()
@@ -536,51 +306,3 @@
 func (r *record) present() bool {
 	return r.State != StateDead && r.State != StateLeft
 }
-
-// Peers returns all known members but this daemon, the absent ones too.
-func (m *Membership) Peers() []Member {
-	out := make([]Member, 0, len(m.peers))
-	for _, id := range m.order {
-		out = append(out, m.peers[id].Member)
-	}
-	return out
-}
-
-// View returns the present view.
-func (m *Membership) View() *View {
-	members := []Member{m.self}
-	zones := make(map[bundle.Zone]bool)
-	zones[m.self.Zone] = true
-	for _, id := range m.order {
-		r := m.peers[id]
-		if r.present() {
-			members = append(members, r.Member)
-		}
-		zones[r.Zone] = zones[r.Zone] || r.present()
-	}
-	return NewView(m.self.ID, members, m.changes(zones))
-}
-
-func (m *Membership) changes(reached map[bundle.Zone]bool) Changes {
-	c := Changes{Recent: !m.changed.IsZero(), Unsettled: m.unsettled}
-	for _, l := range m.lost {
-		c.Lost = append(c.Lost, l.Member)
-	}
-	for _, id := range m.order {
-		if m.peers[id].fresh {
-			c.Fresh = append(c.Fresh, id)
-		}
-	}
-	for z, ok := range reached {
-		if !ok {
-			c.CutZones = append(c.CutZones, z)
-		}
-	}
-	slices.Sort(c.CutZones)
-	for _, id := range m.order {
-		if r := m.peers[id]; r.State == StateDead && !reached[r.Zone] {
-			c.Unreachable = append(c.Unreachable, r.Member)
-		}
-	}
-	return c
-}
--- /dev/null
+++ b/internal/connection/peer/probe.go
@@ -0,0 +1,128 @@
+package peer
+
+import (
+	"net/netip"
+	"slices"
+	"time"
+)
+
+// probe is the one probe in progress.
+type probe struct {
+	target   ID
+	seq      uint32
+	at       time.Time
+	indirect bool
+}
+
+// relay is a probe made for another member.
+type relay struct {
+	to  netip.AddrPort
+	seq uint32
+	at  time.Time
+}
+
+// follow goes on with the probe in progress: after one timeout it asks helpers,
+// after the next it suspects the member.
+func (m *Membership) follow(now time.Time) []Envelope {
+	if m.probe.target == 0 || now.Sub(m.probe.at) < m.cfg.ProbeTimeout {
+		return nil
+	}
+	r := m.peers[m.probe.target]
+	if r == nil || !r.present() {
+		m.probe = probe{}
+		return nil
+	}
+	if !m.probe.indirect {
+		m.probe.indirect = true
+		m.probe.at = now
+		return m.askHelpers(r)
+	}
+	m.probe = probe{}
+	if r.State == StateAlive || r.State == StateLeaving {
+		suspect := r.Member
+		suspect.State = StateSuspect
+		m.apply(suspect, now)
+	}
+	return nil
+}
+
+func (m *Membership) askHelpers(target *record) []Envelope {
+	var out []Envelope
+	ids := slices.Clone(m.order)
+	m.rng.Shuffle(len(ids), func(i, j int) { ids[i], ids[j] = ids[j], ids[i] })
+	for _, id := range ids {
+		r := m.peers[id]
+		if len(out) == m.cfg.Helpers {
+			break
+		}
+		if id == target.ID || r.State != StateAlive {
+			continue
+		}
+		e := m.envelope(r.Control, KindPingRequest, m.probe.seq)
+		e.Message.Target = target.Control
+		out = append(out, e)
+	}
+	// The direct way is tried again too: one lost datagram is no failure.
+	e := m.envelope(target.Control, KindPing, m.probe.seq)
+	e.FreshPort = true
+	return append(out, e)
+}
+
+// startProbe pings the member whose turn it is. All present members stand in a
+// ring, and in each period everyone probes the one that is a common distance
+// away, so each member is probed once a period. If everyone chose by chance,
+// a dead member would now and then be probed by nobody for a second.
+func (m *Membership) startProbe(now time.Time) []Envelope {
+	ring := []ID{m.self.ID}
+	for _, id := range m.order {
+		if m.peers[id].present() {
+			ring = append(ring, id)
+		}
+	}
+	if len(ring) == 1 {
+		return nil
+	}
+	slices.Sort(ring)
+	round := uint64(now.UnixNano()) / uint64(m.cfg.ProbePeriod)
+	distance := 1 + round%uint64(len(ring)-1)
+	place := uint64(slices.Index(ring, m.self.ID))
+	target := ring[(place+distance)%uint64(len(ring))]
+	e := m.ping(m.peers[target].Control)
+	m.probe = probe{target: target, seq: e.Message.Seq, at: now}
+	return []Envelope{e}
+}
+
+// probeDead pings one member that is out of reach, so that both sides of a cut
+// find each other again without the platform.
+func (m *Membership) probeDead() []Envelope {
+	var dead []ID
+	for _, id := range m.order {
+		if m.peers[id].State == StateDead {
+			dead = append(dead, id)
+		}
+	}
+	if len(dead) == 0 {
+		return nil
+	}
+	return []Envelope{m.ping(m.peers[dead[m.rng.IntN(len(dead))]].Control)}
+}
+
+func (m *Membership) acknowledged(msg *Message) []Envelope {
+	if msg.Seq == m.probe.seq {
+		m.probe = probe{}
+	}
+	r, ok := m.relays[msg.Seq]
+	if !ok {
+		return nil
+	}
+	delete(m.relays, msg.Seq)
+	e := m.envelope(r.to, KindAck, r.seq)
+	e.Message.Target = msg.From.Control
+	e.Message.Updates = append([]Member{msg.From}, e.Message.Updates[:min(len(e.Message.Updates), MaxUpdates-1)]...)
+	return []Envelope{e}
+}
+
+func (m *Membership) ping(to netip.AddrPort) Envelope {
+	m.seq++
+	return m.envelope(to, KindPing, m.seq)
+}
--- /dev/null
+++ b/internal/connection/peer/snapshot.go
@@ -0,0 +1,46 @@
+package peer
+
+import (
+	"slices"
+
+	"github.com/fescueshed/fescueshed/internal/version/bundle"
+)
+
+// View returns the present view.
+func (m *Membership) View() *View {
+	members := []Member{m.self}
+	zones := make(map[bundle.Zone]bool)
+	zones[m.self.Zone] = true
+	for _, id := range m.order {
+		r := m.peers[id]
+		if r.present() {
+			members = append(members, r.Member)
+		}
+		zones[r.Zone] = zones[r.Zone] || r.present()
+	}
+	return NewView(m.self.ID, members, m.changes(zones))
+}
+
+func (m *Membership) changes(reached map[bundle.Zone]bool) Changes {
+	c := Changes{Recent: !m.changed.IsZero(), Unsettled: m.unsettled}
+	for _, l := range m.lost {
+		c.Lost = append(c.Lost, l.Member)
+	}
+	for _, id := range m.order {
+		if m.peers[id].fresh {
+			c.Fresh = append(c.Fresh, id)
+		}
+	}
+	for z, ok := range reached {
+		if !ok {
+			c.CutZones = append(c.CutZones, z)
+		}
+	}
+	slices.Sort(c.CutZones)
+	for _, id := range m.order {
+		if r := m.peers[id]; r.State == StateDead && !reached[r.Zone] {
+			c.Unreachable = append(c.Unreachable, r.Member)
+		}
+	}
+	return c
+}
