--- a/cmd/fescueshed/balancer.go
+++ b/cmd/fescueshed/balancer.go
@@ -5,6 +5,8 @@
 	"errors"
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 
 	"k8s.io/klog/v2"
 
@@ -19,8 +21,11 @@
 	PrintSettings bool   `help:"Print the settings with their defaults and end."`
 }
 
-// Run runs the daemon until ctx ends.
+// Run runs the daemon until a signal ends it. Only this command catches signals:
+// the others end by them at once.
 func (c *balancerCommand) Run(ctx context.Context) error {
+	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
 	cfg := new(settings.Settings)
 	*cfg = settings.Defaults()
 	if c.Settings != "" {
--- a/cmd/fescueshed/main.go
+++ b/cmd/fescueshed/main.go
@@ -5,8 +5,6 @@
 	"context"
 	"fmt"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/alecthomas/kong"
 	"github.com/rotisserie/eris"
@@ -30,14 +28,12 @@
 )
 
 func main() {
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
 	var c commands
 	k := kong.Parse(&c,
 		kong.Name("fescueshed"),
 		kong.Description("A layer-4 load balancer that keeps flows alive through planned change."),
 		kong.UsageOnError(),
-		kong.BindTo(ctx, (*context.Context)(nil)))
+		kong.BindTo(context.Background(), (*context.Context)(nil)))
 	err := k.Run()
 	klog.Flush()
 	if err != nil {
