--- a/cmd/fescueshed/main.go
+++ b/cmd/fescueshed/main.go
@@ -19,6 +19,7 @@
 	Key      keyCommands     `cmd:"" help:"Make and show operators' keys."`
 	Status   statusCommand   `cmd:"" help:"Show what a balancer knows: members, upstreams, load, drops."`
 	Capacity capacityCommand `cmd:"" help:"Measure what the parts cost and work out the size to design for."`
+	Report   reportCommand   `cmd:"" help:"Show what several balancers hold together: versions, load, imbalance, drops."`
 	Check    checkCommand    `cmd:"" help:"Check settings and bundles and print all findings."`
 }
 
--- /dev/null
+++ b/cmd/fescueshed/report.go
@@ -0,0 +1,66 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"text/tabwriter"
+	"time"
+
+	"github.com/fescueshed/fescueshed/internal/process/daemon"
+)
+
+type reportCommand struct {
+	Admin   []string      `help:"Admin addresses of the balancers." required:"" placeholder:"HOST:PORT"`
+	JSON    bool          `help:"Print JSON."`
+	Timeout time.Duration `help:"How long to wait for each balancer." default:"5s"`
+}
+
+// Run asks all balancers and prints what they hold together. A balancer that
+// doesn't answer is named, and makes the command fail after the report.
+func (c *reportCommand) Run(ctx context.Context) error {
+	var all []daemon.Status
+	var errs []error
+	for _, a := range c.Admin {
+		s, err := fetchStatus(ctx, a, c.Timeout)
+		if err != nil {
+			errs = append(errs, fmt.Errorf("%s: %w", a, err))
+			continue
+		}
+		all = append(all, *s)
+	}
+	r := daemon.Summarize(all)
+	if c.JSON {
+		if err := json.NewEncoder(os.Stdout).Encode(r); err != nil {
+			return err
+		}
+		return errors.Join(errs...)
+	}
+	if err := printSummary(&r); err != nil {
+		return err
+	}
+	return errors.Join(errs...)
+}
+
+func printSummary(r *daemon.Summary) error {
+	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "ZONE\tBUNDLE\tBALANCERS")
+	for _, v := range r.Versions {
+		fmt.Fprintf(w, "%s\t%d\t%d\n", v.Zone, v.Version, v.Balancers)
+	}
+	fmt.Fprintln(w, "\nSERVICE\tUPSTREAM\tZONE\tFLOWS\tREQUESTS\tSLOTS")
+	for _, u := range r.Upstreams {
+		fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%d\t%s\n", u.Service, u.Name, u.Zone, u.Flows, u.Requests, bar(u.Requests, u.Slots))
+	}
+	fmt.Fprintln(w, "\nSERVICE\tIMBALANCE OF FLOWS")
+	for _, s := range r.Services {
+		fmt.Fprintf(w, "%s\t%.3f\n", s.Name, s.Imbalance)
+	}
+	fmt.Fprintln(w, "\nDROPPED FOR\tPACKETS")
+	for _, d := range r.Drops {
+		fmt.Fprintf(w, "%s\t%d\n", d.Cause, d.Packets)
+	}
+	return w.Flush()
+}
--- a/cmd/fescueshed/status.go
+++ b/cmd/fescueshed/status.go
@@ -23,25 +23,30 @@
 
 // Run fetches and prints a daemon's status.
 func (c *statusCommand) Run(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, c.Timeout)
-	defer cancel()
-	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+c.Admin+"/status", http.NoBody)
+	s, err := fetchStatus(ctx, c.Admin, c.Timeout)
 	if err != nil {
 		return err
 	}
+	if c.JSON {
+		return json.NewEncoder(os.Stdout).Encode(s)
+	}
+	return printStatus(s)
+}
+
+func fetchStatus(ctx context.Context, admin string, timeout time.Duration) (*daemon.Status, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+admin+"/status", http.NoBody)
+	if err != nil {
+		return nil, err
+	}
 	resp, err := http.DefaultClient.Do(r)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	defer func() { _ = resp.Body.Close() }()
 	var s daemon.Status
-	if err := json.NewDecoder(resp.Body).Decode(&s); err != nil {
-		return err
-	}
-	if c.JSON {
-		return json.NewEncoder(os.Stdout).Encode(s)
-	}
-	return printStatus(&s)
+	return &s, json.NewDecoder(resp.Body).Decode(&s)
 }
 
 func printStatus(s *daemon.Status) error {
