internal/connection/caller: tell an overruled home until it confirms

Change: the doubt goes into the placer's copy; a backup notes the home as the other holder only if it keeps what the home proposed.

--- a/internal/connection/caller/holder.go
+++ b/internal/connection/caller/holder.go
@@ -72,6 +72,9 @@
 		if r.isChoice() && r.Upstream == hop.Upstream {
 			// The placer keeps its zone's copy too, which lasts longer than its choice.
 			r.Other = home.Tag()
+			if hop.Has(geneve.FlagUnsure) {
+				r.Flags |= RecordUnsure
+			}
 		}
 		return true
 	})
@@ -195,8 +198,9 @@
 			if peer.ID(hop.Home) != e.self {
 				r.Flags |= RecordBackup
 			}
-			if home != nil && home.ID != e.self {
-				// The home has proposed this upstream and notes that it did.
+			if home != nil && home.ID != e.self && hop.Found == 0 && !hop.Has(geneve.FlagOverruled) {
+				// The home has proposed this upstream and notes that it did. If it has
+				// proposed another, it is told in each sweep until it confirms.
 				r.Other = home.Tag()
 				r.Flags |= RecordUnconfirmed
 			}
