--- a/cmd/fescueshed/report.go
+++ b/cmd/fescueshed/report.go
@@ -58,9 +58,6 @@
 	for _, s := range r.Services {
 		fmt.Fprintf(w, "%s\t%.3f\n", s.Name, s.Imbalance)
 	}
-	fmt.Fprintln(w, "\nDROPPED FOR\tPACKETS")
-	for _, d := range r.Drops {
-		fmt.Fprintf(w, "%s\t%d\n", d.Cause, d.Packets)
-	}
+	printDrops(w, r.Drops)
 	return w.Flush()
 }
--- a/cmd/fescueshed/status.go
+++ b/cmd/fescueshed/status.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"os"
 	"strings"
@@ -65,11 +66,15 @@
 		}
 		fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%d\t%s\n", u.Service, name, u.Zone, u.Flows, u.Requests, bar(u.Requests, u.Slots))
 	}
+	printDrops(w, s.Drops)
+	return w.Flush()
+}
+
+func printDrops(w io.Writer, drops []daemon.DropStatus) {
 	fmt.Fprintln(w, "\nDROPPED FOR\tPACKETS")
-	for _, d := range s.Drops {
+	for _, d := range drops {
 		fmt.Fprintf(w, "%s\t%d\n", d.Cause, d.Packets)
 	}
-	return w.Flush()
 }
 
 // bar draws the busy share of an upstream's slots.
--- a/internal/connection/caller/bad_test.go
+++ b/internal/connection/caller/bad_test.go
@@ -3,6 +3,8 @@
 import (
 	"net/netip"
 
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
 	"github.com/plgd-dev/go-coap/v3/message/codes"
 
 	"github.com/fescueshed/fescueshed/internal/connection/caller"
@@ -93,3 +95,30 @@
 	}
 	return c.receive(c.nodes[0], from, geneve.Append(nil, &h, k, inner(ordersAt, get.payload())))
 }
+
+var _ = DescribeTableSubtree("A packet that must not pass",
+	func(name string) {
+		It("is dropped and counted: "+name, func() {
+			c := newCluster(3)
+			tc := badPackets[name]
+			cause := tc.send(c)
+			Expect(cause).To(Equal(tc.want))
+			Expect(c.upstreamGot).To(BeEmpty())
+			Expect(c.callerGot).To(BeEmpty())
+		})
+	},
+	entries(badPackets),
+)
+
+func entries[T any](cases map[string]T) []TableEntry {
+	out := make([]TableEntry, 0, len(cases))
+	for name := range cases {
+		out = append(out, Entry(name, name))
+	}
+	return out
+}
+
+type badPacket struct {
+	send func(c *cluster) caller.Cause
+	want caller.Cause
+}
--- /dev/null
+++ b/internal/connection/caller/tcp_test.go
@@ -0,0 +1,62 @@
+package caller_test
+
+import (
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/fescueshed/fescueshed/internal/request/ip"
+)
+
+var _ = Describe("A TCP flow", func() {
+	var c *cluster
+	syn := ip.Packet{Src: callerAt(4001), Dst: streamAt, Protocol: ip.ProtocolTCP, TCPFlags: ip.TCPSyn}
+
+	BeforeEach(func() { c = newCluster(3) })
+
+	It("is placed by its SYN and ends by two FINs", func() {
+		first := c.segment(c.nodes[0], syn, "")
+		Expect(first).To(HaveLen(1))
+		data := syn
+		data.TCPFlags = ip.TCPAck
+		Expect(c.segment(c.nodes[1], data, "payload")).To(Equal(first))
+		Expect(c.flowsAt("stream")).To(BeEquivalentTo(1))
+		fin := syn
+		fin.TCPFlags = ip.TCPFin | ip.TCPAck
+		c.segment(c.nodes[2], fin, "")
+		c.back(c.nodes[0], first[0], fin)
+		Expect(c.flowsAt("stream")).To(BeZero())
+		Expect(c.segment(c.nodes[1], data, "")).To(Equal(first), "the last ACK")
+	})
+
+	It("is reset in mid-life if nobody knows it", func() {
+		data := syn
+		data.TCPFlags = ip.TCPAck
+		Expect(c.segment(c.nodes[0], data, "payload")).To(BeEmpty())
+		Expect(c.resets).To(Equal(1))
+	})
+
+	It("is placed once more if its upstream refuses the SYN", func() {
+		first := c.segment(c.nodes[0], syn, "")
+		rst := syn
+		rst.TCPFlags = ip.TCPRst | ip.TCPAck
+		c.back(c.nodes[1], first[0], rst)
+		Expect(c.resets).To(BeZero(), "the caller doesn't see the first refusal")
+		second := c.segment(c.nodes[2], syn, "")
+		Expect(second).NotTo(Equal(first))
+		c.back(c.nodes[1], second[0], rst)
+		Expect(c.resets).To(Equal(1), "the second is final")
+	})
+
+	// A byte stream is cut in two. The upstream resets after it was sent payload;
+	// placing the flow again would send the rest elsewhere.
+	It("isn't placed again once a payload byte was forwarded", func() {
+		first := c.segment(c.nodes[0], syn, "")
+		data := syn
+		data.TCPFlags = ip.TCPAck
+		c.segment(c.nodes[0], data, "payload")
+		rst := syn
+		rst.TCPFlags = ip.TCPRst
+		c.back(c.nodes[1], first[0], rst)
+		Expect(c.resets).To(Equal(1))
+	})
+})
