internal/connection/caller: tests for three guards more

Cause: six more guards were taken out; three left all tests green: yielding to an earlier proposal, telling an overruled home until it confirms, and the service of an upstream whose answer brings a lost record back. Change: a test for each. The other three (requests from before a pause, TCP flows with payload, a home that chooses alone) had theirs. Conclusion: guards outside this package were not tried.

--- a/internal/connection/caller/guard_test.go
+++ b/internal/connection/caller/guard_test.go
@@ -88,4 +88,48 @@
 		}
 		Expect(c.exchange(c.nodes[3], next(2))).To(Equal(u))
 	})
+
+	// A session moves to another upstream when a balancer dies. An earlier try had
+	// proposed another one, which held; the datagram that told the home was lost,
+	// and the home went on with its own proposal.
+	It("learns of an earlier proposal that overruled its own, though the first word of it is lost", func() {
+		for flow := range uint16(30) {
+			c = newCluster(9)
+			c.unlikeLoads()
+			r := request{vni: vniOrders, flow: 8000 + flow, code: codes.GET, id: 1, token: 1}
+			home := c.homeOf(r)
+			for _, n := range c.routeOf(r) {
+				if n != home {
+					c.leaveCopy(n, r, "orders-4")
+					break
+				}
+			}
+			c.now = c.now.Add(time.Second)
+			c.passes = 0
+			c.drop = func(_, to *node) bool { return to == home && c.passes > 2 }
+			Expect(c.call(home, r)).To(Equal([]string{"orders-4"}))
+			c.drop = nil
+			c.sweep()
+			for _, n := range c.knowers(r) {
+				if n != home {
+					c.kill(n)
+				}
+			}
+			c.settle(true)
+			r.id, r.token = 2, 2
+			Expect(c.call(home, r)).To(Equal([]string{"orders-4"}), "flow %d", flow)
+		}
+	})
+
+	// Editing traffic is answered by the archive. All holders of a flow died, and
+	// an upstream of another service sends under this service's VNI.
+	It("doesn't adopt a flow for an upstream of another service", func() {
+		c.call(c.nodes[0], post)
+		for _, n := range c.knowers(post) {
+			c.kill(n)
+		}
+		c.settle(true)
+		Expect(c.answer(c.other(), "archive-0", post)).To(BeFalse())
+		Expect(c.answer(c.other(), "orders-0", post)).To(BeTrue())
+	})
 })
