--- a/cmd/fescueshed/cookie.go
+++ b/cmd/fescueshed/cookie.go
@@ -43,7 +43,9 @@
 	}
 	w, flush := logs.NewWriter(os.Stdout)
 	defer flush()
-	logs.Setup(w)
+	if err := logs.Setup(w); err != nil {
+		return err
+	}
 	term, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	store, closeStore := objects.NewCaller(cfg.Store)
--- a/internal/connection/cookie/engine.go
+++ b/internal/connection/cookie/engine.go
@@ -32,7 +32,9 @@
 	// unknown holds when cookies of upstreams that aren't known were first seen.
 	unknown map[Cookie]time.Time
 	// confirmed is the time at which the list was last known to be complete.
-	confirmed  time.Time
+	confirmed time.Time
+	// heard is when any upstream last showed a sign of life.
+	heard      time.Time
 	candidates []upstream.Candidate
 	Board      *upstream.Board
 	Counters   Counters
--- a/internal/connection/cookie/flow.go
+++ b/internal/connection/cookie/flow.go
@@ -87,12 +87,12 @@
 // observe learns from an established flow's packet. Callers repeat what isn't
 // acknowledged after 200 ms, so a repeated packet says that the upstream was
 // silent, and a higher acknowledgement that it wasn't.
-func (f *flow) observe(p *Packet, now time.Time) {
+func (e *Engine) observe(f *flow, p *Packet, now time.Time) {
 	f.last = now
 	f.count()
 	if after(p.Ack, f.ack) {
 		f.ack = p.Ack
-		f.up.alive(now)
+		e.alive(f.up, now)
 		f.answered()
 	}
 	end := p.Seq + p.span()
@@ -102,7 +102,7 @@
 		f.next = end
 		f.asked()
 	default:
-		f.up.unanswered(now)
+		e.unanswered(f.up, now)
 	}
 	if p.Flags.Has(FlagFIN) {
 		f.closing = true
--- a/internal/connection/cookie/open.go
+++ b/internal/connection/cookie/open.go
@@ -20,11 +20,13 @@
 	f.copies = p.Copy
 	f.last = now
 	// An upstream that answers other flows lost a packet of this one. Any other may
-	// be dead or full, and waiting for a second copy would cost 400 ms more.
-	if f.up.takes() && now.Sub(f.up.heard) < aliveFor {
+	// be dead or full, and waiting for a second copy would cost 400 ms more. If no
+	// upstream is heard, the trouble is this host's, and another upstream would be as
+	// silent.
+	if f.up.takes() && (now.Sub(f.up.heard) < aliveFor || now.Sub(e.heard) >= aliveFor) {
 		return Verdict{Action: ActionForward, Cause: CauseRepeated, Upstream: f.up}
 	}
-	f.up.unanswered(now)
+	e.unanswered(f.up, now)
 	return e.placeAgain(p, f, r, now)
 }
 
--- a/internal/connection/cookie/pass.go
+++ b/internal/connection/cookie/pass.go
@@ -25,7 +25,7 @@
 	if u.health == HealthDead {
 		return e.refuseFlow(p, f, deadCause(u))
 	}
-	f.observe(p, now)
+	e.observe(f, p, now)
 	if p.Flags.Has(FlagRST) {
 		e.forget(p.Key, f)
 	}
@@ -46,7 +46,7 @@
 	}
 	f.opened = true
 	f.ack, f.next = p.Ack, p.Seq
-	f.up.alive(now)
+	e.alive(f.up, now)
 }
 
 // adopt decides for a flow that this balancer has no record of.
@@ -67,7 +67,7 @@
 	f := &flow{up: u, opened: true, last: now, placed: now, ack: p.Ack, next: p.Seq}
 	e.flows[p.Key] = f
 	u.flows++
-	f.observe(p, now)
+	e.observe(f, p, now)
 	return Verdict{Action: ActionForward, Upstream: u}
 }
 
--- a/internal/connection/cookie/upstream.go
+++ b/internal/connection/cookie/upstream.go
@@ -39,6 +39,8 @@
 	// reprobeAfter is the pause between probes of an upstream that is dead or that
 	// the list no longer has.
 	reprobeAfter = time.Second
+	// unsurePause is the pause after a probe that found nothing out.
+	unsurePause = 250 * time.Millisecond
 	// maxTimeouts is how many probes in a row go unanswered before an upstream is
 	// dead: a single connection attempt may be lost on the way.
 	maxTimeouts = 2
@@ -85,12 +87,9 @@
 	}
 }
 
-// unanswered notes that a caller repeated a packet that went there.
-func (u *Upstream) unanswered(now time.Time) {
-	if u.health != HealthGood || now.Sub(u.heard) < aliveFor || now.Sub(u.checked) < checkedFor {
-		return
-	}
-	u.doubt(now)
+// silent reports whether the upstream has shown no sign of life lately.
+func (u *Upstream) silent(now time.Time) bool {
+	return now.Sub(u.heard) >= aliveFor && now.Sub(u.checked) >= checkedFor
 }
 
 // doubt asks for a probe at once.
@@ -123,8 +122,11 @@
 	ProbeOther
 	// ProbeRefused: nothing listens at the address.
 	ProbeRefused
-	// ProbeTimeout: the connection wasn't accepted in time.
+	// ProbeTimeout: the connection wasn't accepted in time, while another upstream
+	// accepted one quickly.
 	ProbeTimeout
+	// ProbeUnsure: nothing was found out.
+	ProbeUnsure
 )
 
 // probed takes in a result. It reports whether the upstream is found dead by it.
@@ -135,6 +137,8 @@
 	switch {
 	case r == ProbeAlive:
 		u.health, u.timeouts, u.checked = HealthGood, 0, now
+	case r == ProbeUnsure:
+		u.nextProbe = now.Add(unsurePause)
 	case r == ProbeOther || r == ProbeRefused:
 		u.health = HealthDead
 	case u.heard.After(sent):
@@ -151,7 +155,7 @@
 	return was != HealthDead && u.health == HealthDead
 }
 
-var probeNames = [...]string{"Alive", "Other", "Refused", "Timeout"}
+var probeNames = [...]string{"Alive", "Other", "Refused", "Timeout", "Unsure"}
 
 // String names the result.
 func (r ProbeResult) String() string { return probeNames[r] }
--- a/internal/connection/cookie/watch.go
+++ b/internal/connection/cookie/watch.go
@@ -35,11 +35,30 @@
 // today hold about 2,000 connections each.
 const defaultConnections = 2000
 
+// alive notes a sign of life of an upstream.
+func (e *Engine) alive(u *Upstream, now time.Time) {
+	e.heard = now
+	u.alive(now)
+}
+
+// unanswered notes that a caller repeated a packet that went to an upstream. It
+// says nothing while no upstream at all is heard: then this host is slow or cut off,
+// or its link is full.
+func (e *Engine) unanswered(u *Upstream, now time.Time) {
+	if u.health == HealthGood && u.silent(now) && now.Sub(e.heard) < aliveFor {
+		u.doubt(now)
+	}
+}
+
 // Probe is a request to look whether an upstream lives.
 type Probe struct {
 	Upstream *bundle.UpstreamRoute
 	// Listed is false for an upstream that the list no longer has.
 	Listed bool
+	// Reference is another upstream, one that was heard lately, to be probed at the
+	// same time: if it doesn't answer quickly either, the trouble is on this host's
+	// side and a time-out shows nothing. It is nil if there is none.
+	Reference *bundle.UpstreamRoute
 }
 
 // DueProbes returns the upstreams that are to be probed now. Each must be
@@ -49,20 +68,38 @@
 	for _, u := range e.upstreams {
 		if u.probeDue(now) {
 			u.probing = true
-			out = append(out, Probe{Upstream: u.Route, Listed: u.listed})
+			out = append(out, Probe{Upstream: u.Route, Listed: u.listed, Reference: e.reference(u)})
 		}
 	}
 	return out
 }
 
+// reference returns the upstream that was heard last, the doubted one left out.
+func (e *Engine) reference(not *Upstream) *bundle.UpstreamRoute {
+	var best *Upstream
+	for _, u := range e.upstreams {
+		if u == not || !u.listed || u.health != HealthGood {
+			continue
+		}
+		if best == nil || u.heard.After(best.heard) {
+			best = u
+		}
+	}
+	if best == nil {
+		return nil
+	}
+	return best.Route
+}
+
 // Probed takes in what a probe that was sent at a time found. It returns resets
 // for the flows of an upstream that is found dead, so that their callers come back
 // before an idle flow carries a request that can't be repeated.
 //
 // Why no live flow is reset by it: a refused connection or another identifier
 // shows that the process that held the flows is gone; a time-out counts only if
-// it happens twice and no flow heard from the upstream meanwhile, which is what a
-// crash of its host or a cut looks like, and neither leaves a flow usable.
+// it happens twice while a probe of another upstream was answered quickly, and no
+// flow heard from the upstream meanwhile, which is what a crash of its host or a cut
+// looks like, and neither leaves a flow usable.
 func (e *Engine) Probed(id bundle.UpstreamID, r ProbeResult, sent, now time.Time) []Reset {
 	u := e.upstreams[id]
 	if u == nil || !u.probed(r, sent, now) {
@@ -108,6 +145,7 @@
 // Paused tells that the process stood still for a while. What callers repeated
 // meanwhile says nothing of upstreams, so all get time to be heard of again.
 func (e *Engine) Paused(now time.Time) {
+	e.heard = time.Time{}
 	for _, u := range e.upstreams {
 		u.heard = now
 	}
--- a/internal/connection/peer/gossip.go
+++ b/internal/connection/peer/gossip.go
@@ -104,7 +104,7 @@
 func (m *Membership) takeGossip() []Member {
 	var out []Member
 	for i := range m.gossip {
-		if len(out) == MaxUpdates {
+		if len(out) == m.cfg.Updates {
 			break
 		}
 		out = append(out, m.gossip[i].Member)
--- a/internal/connection/peer/membership.go
+++ b/internal/connection/peer/membership.go
@@ -29,6 +29,10 @@
 	RecentWindow time.Duration
 	// GossipCopies is how often each update is passed on.
 	GossipCopies int
+	// Updates is how many updates one message carries, MaxUpdates at most. In quiet
+	// times there are none to carry, so more of them cost only while members come
+	// and go.
+	Updates int
 }
 
 // The defaults: a dead member is found in under two seconds at nine members.
@@ -40,6 +44,8 @@
 	DefaultLostWindow     = 50 * time.Second
 	DefaultRecentWindow   = 10 * time.Minute
 	DefaultGossipCopies   = 6
+	// DefaultUpdates leaves room for the counts of flows in the same datagram.
+	DefaultUpdates = 4
 	// deadProbes is how many probe periods lie between two probes of a member
 	// that is out of reach, by which a healed network is noticed.
 	deadProbes = 8
@@ -55,6 +61,7 @@
 	setDefault(&c.LostWindow, DefaultLostWindow)
 	setDefault(&c.RecentWindow, DefaultRecentWindow)
 	setDefault(&c.GossipCopies, DefaultGossipCopies)
+	setDefault(&c.Updates, DefaultUpdates)
 	return c
 }
 
@@ -269,6 +276,27 @@
 	return out
 }
 
+// Learn takes in members that another daemon knows. It spreads nothing: who told
+// them has done so.
+func (m *Membership) Learn(now time.Time, members []Member) {
+	for i := range members {
+		if members[i].ID != m.self.ID {
+			m.apply(members[i], now)
+		}
+	}
+}
+
+// Known returns all members that are there, this daemon first.
+func (m *Membership) Known() []Member {
+	out := []Member{m.self}
+	for _, id := range m.order {
+		if r := m.peers[id]; r.present() {
+			out = append(out, r.Member)
+		}
+	}
+	return out
+}
+
 func (m *Membership) touch(now time.Time) {
 	m.changed = now
 	m.unsettled = true
--- a/internal/connection/peer/message.go
+++ b/internal/connection/peer/message.go
@@ -23,8 +23,8 @@
 
 // Limits of a message.
 const (
-	// MaxUpdates is how many updates one message carries.
-	MaxUpdates = 4
+	// MaxUpdates is how many updates one message carries at most.
+	MaxUpdates = 12
 	// MaxMessageBytes is the size that no message exceeds.
 	MaxMessageBytes = 1400
 	maxNameBytes    = 64
--- a/internal/connection/peer/news.go
+++ b/internal/connection/peer/news.go
@@ -16,6 +16,8 @@
 	From ID
 	// Age is how long ago the store last confirmed all of this.
 	Age time.Duration
+	// Doubt is for how long the sender keeps upstreams that vanish from the store.
+	Doubt time.Duration
 	// AsOf and Digest identify the sender's registrations, see registry.Catalog.
 	AsOf   objects.Revision
 	Digest uint64
@@ -36,7 +38,7 @@
 
 // Check implements the check of a wire type.
 func (n *News) Check() error {
-	if n.From == 0 || n.Age < 0 || len(n.Changes) > MaxNewsChanges {
+	if n.From == 0 || n.Age < 0 || n.Doubt < 0 || len(n.Changes) > MaxNewsChanges {
 		return ErrMessage
 	}
 	for i := range n.Changes {
@@ -79,14 +81,25 @@
 	_   struct{} `cbor:",toarray"`
 	Age time.Duration
 	// Bundle is nil if the asker has this version or a newer one.
-	Bundle        *bundle.Bundle
-	Version       bundle.Version
-	AsOf          objects.Revision
+	Bundle  *bundle.Bundle
+	Version bundle.Version
+	AsOf    objects.Revision
+	Doubt   time.Duration
+	// Listed says that Registrations is the list as of AsOf. It isn't sent to an
+	// asker that knows as much.
+	Listed        bool
 	Registrations []registry.Registration
+	// Members are the daemons that the sender knows.
+	Members []Member
 }
 
 // Check implements the check of a wire type.
 func (c *Catalog) Check() error {
+	for i := range c.Members {
+		if err := c.Members[i].Check(); err != nil {
+			return err
+		}
+	}
 	for i := range c.Registrations {
 		if err := c.Registrations[i].Check(); err != nil {
 			return err
@@ -103,8 +116,9 @@
 
 // CatalogParams are the parameters of MethodCatalog.
 type CatalogParams struct {
-	// Version is the bundle that the asker has in force, AsOf what it knows of
-	// registrations.
+	// Version is the bundle that the asker has in force, AsOf and Digest what it
+	// knows of registrations.
 	Version bundle.Version
 	AsOf    objects.Revision
+	Digest  uint64
 }
--- a/internal/connection/peer/probe.go
+++ b/internal/connection/peer/probe.go
@@ -118,7 +118,7 @@
 	delete(m.relays, msg.Seq)
 	e := m.envelope(r.to, KindAck, r.seq)
 	e.Message.Target = msg.From.Control
-	e.Message.Updates = append([]Member{msg.From}, e.Message.Updates[:min(len(e.Message.Updates), MaxUpdates-1)]...)
+	e.Message.Updates = append([]Member{msg.From}, e.Message.Updates[:min(len(e.Message.Updates), m.cfg.Updates-1)]...)
 	return []Envelope{e}
 }
 
--- a/internal/connection/peer/snapshot.go
+++ b/internal/connection/peer/snapshot.go
@@ -8,14 +8,11 @@
 
 // View returns the present view.
 func (m *Membership) View() *View {
-	members := []Member{m.self}
+	members := m.Known()
 	zones := make(map[bundle.Zone]bool)
 	zones[m.self.Zone] = true
 	for _, id := range m.order {
 		r := m.peers[id]
-		if r.present() {
-			members = append(members, r.Member)
-		}
 		zones[r.Zone] = zones[r.Zone] || r.present()
 	}
 	return NewView(m.self.ID, members, m.changes(zones))
--- a/internal/connection/upstream/zoned.go
+++ b/internal/connection/upstream/zoned.go
@@ -2,15 +2,30 @@
 
 import (
 	"math"
+	"math/rand/v2"
 
 	"github.com/fescueshed/fescueshed/internal/version/bundle"
 )
 
 // Zoned places new flows in the daemon's own zone as long as one of its upstreams
-// there has room, and then by least load: what crosses zones is what a cut between
-// them breaks, and its bytes are paid for.
+// there has room: what crosses zones is what a cut between them breaks, and its
+// bytes are paid for. Among those with room it takes the least loaded of a few that
+// it draws. It isn't safe for concurrent use.
 type Zoned struct {
-	Zone bundle.Zone
+	zone    bundle.Zone
+	choices int
+	drawn   []int
+}
+
+// DefaultChoices is how many candidates are drawn. What others placed is known half
+// a second late; if all daemons took the least loaded of all, they would send all
+// flows of that time to one upstream. Two choices at random are spread nearly as
+// well as the best of all would be with full knowledge (Mitzenmacher 2001).
+const DefaultChoices = 2
+
+// NewZoned returns a policy for a daemon in a zone that draws so many candidates.
+func NewZoned(zone bundle.Zone, choices int) *Zoned {
+	return &Zoned{zone: zone, choices: choices}
 }
 
 // coldFlows is how many flows more an upstream counts while it is slow after its
@@ -18,23 +33,32 @@
 const coldFlows = 2
 
 // Choose implements Policy.
-func (z Zoned) Choose(candidates []Candidate, seed uint64) *bundle.UpstreamRoute {
-	own, other := z.least(candidates, seed, true), z.least(candidates, seed, false)
-	if own != nil {
-		return own
+func (z *Zoned) Choose(candidates []Candidate, seed uint64) *bundle.UpstreamRoute {
+	for _, own := range [...]bool{true, false} {
+		z.drawn = z.drawn[:0]
+		for i := range candidates {
+			if (candidates[i].Route.Zone == z.zone) == own && candidates[i].hasRoom() {
+				z.drawn = append(z.drawn, i)
+			}
+		}
+		if len(z.drawn) > 0 {
+			return z.least(candidates, seed)
+		}
 	}
-	return other
+	return nil
 }
 
-func (z Zoned) least(candidates []Candidate, seed uint64, own bool) *bundle.UpstreamRoute {
+// least draws candidates by a partial shuffle and returns the least loaded.
+func (z *Zoned) least(candidates []Candidate, seed uint64) *bundle.UpstreamRoute {
+	var src rand.PCG
+	src.Seed(seed, seed)
+	rng := rand.New(&src)
 	var best *bundle.UpstreamRoute
 	least := math.Inf(1)
-	n := uint64(len(candidates))
-	for i := range candidates {
-		c := &candidates[(seed+uint64(i))%n]
-		if (c.Route.Zone == z.Zone) != own || !c.hasRoom() {
-			continue
-		}
+	for i := range min(z.choices, len(z.drawn)) {
+		j := i + rng.IntN(len(z.drawn)-i)
+		z.drawn[i], z.drawn[j] = z.drawn[j], z.drawn[i]
+		c := &candidates[z.drawn[i]]
 		if cost := c.cost(); cost < least {
 			best, least = c.Route, cost
 		}
--- a/internal/process/carrier/carrier.go
+++ b/internal/process/carrier/carrier.go
@@ -82,7 +82,7 @@
 		catalog:  registry.NewCatalog(),
 		engine: cookie.NewEngine(cookie.Options{
 			Zone:         cfg.Zone,
-			Policy:       upstream.Zoned{Zone: cfg.Zone},
+			Policy:       upstream.NewZoned(cfg.Zone, upstream.DefaultChoices),
 			FlowLifetime: time.Duration(cfg.FlowLifetime),
 		}),
 	}
@@ -140,7 +140,7 @@
 	c.pauses.Seen(now)
 	c.mu.Lock()
 	if c.catalog.Expire(now) {
-		c.engine.SetUpstreams(c.catalog.List(), now)
+		c.engine.SetUpstreams(c.catalog.InUse(), now)
 	}
 	due := c.engine.DueProbes(now)
 	c.mu.Unlock()
--- a/internal/process/carrier/members.go
+++ b/internal/process/carrier/members.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -85,7 +86,7 @@
 		Size:        uint32(cfg.CPUShare * milliCores),
 	}
 	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	m.group = peer.NewMembership(peer.Config{ProbePeriod: time.Duration(cfg.ProbePeriod)}, self, rng)
+	m.group = peer.NewMembership(peer.Config{ProbePeriod: time.Duration(cfg.ProbePeriod), Updates: peer.MaxUpdates}, self, rng)
 	m.view.Store(m.group.View())
 	c.members = m
 	ctx, cancel := context.WithCancel(ctx)
@@ -97,6 +98,7 @@
 		return nil, err
 	}
 	ports.Start(m.datagram)
+	m.wg.Go(func() { m.join(ctx) })
 	return func() {
 		cancel()
 		stopRPC()
@@ -135,7 +137,7 @@
 			m.do(func(g *peer.Membership) []peer.Envelope { return g.Receive(now, from, msg) })
 		})
 	case protocolNews:
-		err = receive(m.news, body, func(n *peer.News) { m.heardNews(n, now) })
+		err = receive(m.news, body, func(n *peer.News) { m.heardNews(from, n, now) })
 	case protocolReport:
 		err = receive(m.reports, body, func(r *peer.Report) { m.heardReport(r, now) })
 	default:
@@ -212,6 +214,44 @@
 	}
 }
 
+// joinAfter are the times after the start at which everything is fetched from
+// another daemon. Gossip alone takes ten seconds to tell 78 daemons that start
+// together of each other; by the second time each has asked a seed.
+var joinAfter = [...]time.Duration{400 * time.Millisecond, 1500 * time.Millisecond, 4 * time.Second}
+
+// join fetches what others know: the bundle, upstreams and members. A daemon that
+// the store turns away starts by that.
+func (m *members) join(ctx context.Context) {
+	for _, after := range joinAfter {
+		sleep(ctx, after/2+rand.N(after)-time.Since(m.c.started))
+		if to := m.anyone(); to.IsValid() && ctx.Err() == nil {
+			m.pull(to, false)
+		}
+	}
+}
+
+// anyone returns the address of a seed that is a member, or else of any member.
+func (m *members) anyone() netip.AddrPort {
+	v := m.view.Load()
+	var seeds, others []netip.AddrPort
+	for i := range v.Members {
+		o := &v.Members[i]
+		switch {
+		case o.ID == v.Self:
+		case slices.Contains(m.c.cfg.Load().Seeds, o.Control):
+			seeds = append(seeds, o.Control)
+		default:
+			others = append(others, o.Control)
+		}
+	}
+	for _, list := range [][]netip.AddrPort{seeds, others} {
+		if len(list) > 0 {
+			return list[rand.IntN(len(list))]
+		}
+	}
+	return netip.AddrPort{}
+}
+
 // tick lets the membership see the time and asks the seeds.
 func (m *members) tick(now time.Time) {
 	version := m.c.inForce.Version()
--- a/internal/process/carrier/news.go
+++ b/internal/process/carrier/news.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"net/netip"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -20,8 +21,10 @@
 	staleNews = 1500 * time.Millisecond
 	// pullTimeout bounds the fetching of everything from another daemon.
 	pullTimeout = time.Second
-	// pullPause is the least time between two, whatever the news say.
-	pullPause = 100 * time.Millisecond
+	// pullPause and urgentPause are the least times between two. A member that is told
+	// different lists by two readers would else fill the link of a small host.
+	pullPause   = 500 * time.Millisecond
+	urgentPause = 100 * time.Millisecond
 )
 
 // tellNews tells the zone what this daemon read in the store, if it reads it.
@@ -37,6 +40,7 @@
 	n := &peer.News{
 		From:    v.Self,
 		Age:     now.Sub(as),
+		Doubt:   c.catalog.Doubt(now),
 		AsOf:    c.catalog.AsOf,
 		Digest:  c.catalog.Digest(),
 		Changes: c.catalog.Recent(now.Add(-newsSpan), peer.MaxNewsChanges),
@@ -47,57 +51,64 @@
 }
 
 // heardNews takes in what another daemon read in the store. If that doesn't lead to
-// what the sender knows, everything is fetched from it.
-func (m *members) heardNews(n *peer.News, now time.Time) {
+// what the sender knows, everything is fetched from it. Only news that this daemon
+// then holds count as heard: one that can't fetch what it lacks must read the store
+// itself, however fresh the news are.
+func (m *members) heardNews(from netip.AddrPort, n *peer.News, now time.Time) {
 	before := m.before(n.From)
 	as := now.Add(-n.Age)
 	c := m.c
+	newBundle := n.Bundle > c.inForce.Version()
 	c.mu.Lock()
-	c.reading.Heard(as, before)
+	c.catalog.DoubtFor(n.Doubt, now)
 	// Changes of an older state would bring back what went since.
 	if n.AsOf >= c.catalog.AsOf && c.catalog.Len() > 0 && c.catalog.Apply(n.Changes, n.AsOf, now) {
-		c.engine.SetUpstreams(c.catalog.List(), now)
+		c.engine.SetUpstreams(c.catalog.InUse(), now)
 	}
-	same := n.AsOf <= c.catalog.AsOf && n.Digest == c.catalog.Digest()
-	if same {
+	lacks := n.AsOf >= c.catalog.AsOf && n.Digest != c.catalog.Digest()
+	if !lacks {
 		c.confirmList(as)
 	}
-	behind := n.AsOf >= c.catalog.AsOf && !same
+	if !lacks && !newBundle {
+		c.reading.Heard(as, before)
+		c.confirmBundleAt(as)
+	}
 	c.mu.Unlock()
-	if n.Bundle > c.inForce.Version() || behind {
-		m.pull(n.From)
+	if newBundle || lacks {
+		m.pull(from, newBundle)
 	}
 }
 
-// pull fetches everything from another daemon, one at a time.
-func (m *members) pull(from peer.ID) {
-	o := m.view.Load().Member(from)
-	if o == nil || !m.pulling.CompareAndSwap(false, true) {
+// pull fetches everything from another daemon, one at a time. A list that differs
+// can wait longer than a new bundle: the store's readers differ for moments.
+func (m *members) pull(from netip.AddrPort, urgent bool) {
+	if !m.pulling.CompareAndSwap(false, true) {
 		return
 	}
 	m.wg.Go(func() {
 		defer m.pulling.Store(false)
-		if err := m.fetch(o); err != nil {
-			klog.V(1).InfoS("Catalog not fetched", "From", o.Name, "Error", err)
+		if err := m.fetch(from); err != nil {
+			klog.V(1).InfoS("Catalog not fetched", "From", from, "Error", err)
 		}
-		select {
-		case <-m.ctx.Done():
-		case <-time.After(pullPause):
+		pause := pullPause
+		if urgent {
+			pause = urgentPause
 		}
+		sleep(m.ctx, pause)
 	})
 }
 
-func (m *members) fetch(o *peer.Member) error {
+func (m *members) fetch(from netip.AddrPort) error {
 	m.pulls.Add(1)
 	ctx, cancel := context.WithTimeout(m.ctx, pullTimeout)
 	defer cancel()
 	sent := time.Now()
 	c := m.c
 	c.mu.Lock()
-	params := peer.CatalogParams{AsOf: c.catalog.AsOf}
+	params := peer.CatalogParams{AsOf: c.catalog.AsOf, Digest: c.catalog.Digest()}
 	c.mu.Unlock()
 	params.Version = c.inForce.Version()
-	sealed, err := peer.CallRPC[[]byte](ctx, o.RPC, peer.MethodCatalog, params)
+	sealed, err := peer.CallRPC[[]byte](ctx, from, peer.MethodCatalog, params)
 	if err != nil {
 		return err
 	}
@@ -105,27 +116,32 @@
 	if err != nil {
 		return err
 	}
-	as := sent.Add(-got.Age)
+	now := time.Now()
+	m.do(func(g *peer.Membership) []peer.Envelope {
+		g.Learn(now, got.Members)
+		return nil
+	})
 	if got.Bundle != nil {
-		c.takeBundle(got.Version, got.Bundle, "Peer", o.Name, got.Age)
+		c.takeBundle(got.Version, got.Bundle, "Peer", from.String(), got.Age)
 	}
-	now := time.Now()
+	c.takeCatalog(got, sent.Add(-got.Age), now)
+	return nil
+}
+
+// takeCatalog takes in a list that another daemon knew as of a time.
+func (c *Carrier) takeCatalog(got *peer.Catalog, as, now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if got.AsOf < c.catalog.AsOf {
-		return nil // The list was read elsewhere meanwhile.
+	if !got.Listed || got.AsOf < c.catalog.AsOf {
+		return
 	}
+	c.catalog.DoubtFor(got.Doubt, now)
 	if c.catalog.Replace(got.Registrations, got.AsOf, now) {
-		c.engine.SetUpstreams(c.catalog.List(), now)
+		c.engine.SetUpstreams(c.catalog.InUse(), now)
 	}
 	c.confirmList(as)
-	return nil
 }
 
-// errNothingKnown is the JSON-RPC code of a daemon that has nothing to tell, in
-// the range that the specification leaves to servers.
-const errNothingKnown = -32002
-
 func (m *members) handleRPC(_ context.Context, _ *jsonrpc2.Conn, r *jsonrpc2.Request) (any, error) {
 	if r.Method != peer.MethodCatalog {
 		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "unknown method " + r.Method}
@@ -136,19 +152,33 @@
 			return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: err.Error()}
 		}
 	}
-	b, version := m.c.bundleInForce()
-	if b == nil {
-		return nil, &jsonrpc2.Error{Code: errNothingKnown, Message: "no bundle is in force here"}
-	}
+	out := m.c.tell(params)
+	m.mu.Lock()
+	out.Members = m.group.Known()
+	m.mu.Unlock()
+	sealed, err := m.catalog.Encode(out)
+	return sealed, eris.Wrap(err, "catalog")
+}
+
+// tell returns what this daemon knows and the asker doesn't.
+func (c *Carrier) tell(params peer.CatalogParams) *peer.Catalog {
+	b, version := c.bundleInForce()
 	out := &peer.Catalog{Version: version}
 	if version > params.Version {
 		out.Bundle = b
 	}
-	m.c.mu.Lock()
-	out.AsOf = m.c.catalog.AsOf
-	out.Registrations = m.c.catalog.List()
-	out.Age = time.Since(m.c.confirmed())
-	m.c.mu.Unlock()
-	sealed, err := m.catalog.Encode(out)
-	return sealed, eris.Wrap(err, "catalog")
+	now := time.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	out.AsOf = c.catalog.AsOf
+	out.Doubt = c.catalog.Doubt(now)
+	if c.confirmedList.IsZero() {
+		return out
+	}
+	out.Age = now.Sub(c.confirmedList)
+	if params.AsOf < out.AsOf || params.Digest != c.catalog.Digest() {
+		out.Listed = true
+		out.Registrations = c.catalog.List()
+	}
+	return out
 }
--- a/internal/process/carrier/probe.go
+++ b/internal/process/carrier/probe.go
@@ -5,7 +5,6 @@
 	"errors"
 	"net"
 	"net/http"
-	"os"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -14,6 +13,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/fescueshed/fescueshed/internal/connection/cookie"
+	"github.com/fescueshed/fescueshed/internal/version/bundle"
 )
 
 // probes looks whether doubted upstreams live.
@@ -64,22 +64,45 @@
 // ask connects to the upstream and asks for its health. The connection alone shows
 // that something listens there; the answer shows which upstream it is.
 func (p *probes) ask(pr cookie.Probe) cookie.ProbeResult {
-	ctx, cancel := context.WithTimeout(p.ctx, time.Duration(p.c.cfg.Load().ProbeTimeout))
-	defer cancel()
-	var nd net.Dialer
-	conn, err := nd.DialContext(ctx, "tcp4", pr.Upstream.Address.String())
+	reference := make(chan bool, 1)
+	go func() { reference <- p.quick(pr.Reference) }()
+	conn, err := p.dial(pr.Upstream)
 	switch {
 	case errors.Is(err, syscall.ECONNREFUSED):
 		return cookie.ProbeRefused
-	case errors.Is(err, os.ErrDeadlineExceeded), errors.Is(err, context.DeadlineExceeded):
+	case err != nil && <-reference:
 		return cookie.ProbeTimeout
 	case err != nil:
-		klog.V(1).InfoS("Probe failed", "Upstream", pr.Upstream.Address, "Error", err)
-		return cookie.ProbeTimeout
+		return cookie.ProbeUnsure
 	}
 	return p.identify(conn, pr)
 }
 
+func (p *probes) dial(u *bundle.UpstreamRoute) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(p.ctx, time.Duration(p.c.cfg.Load().ProbeTimeout))
+	defer cancel()
+	var nd net.Dialer
+	return nd.DialContext(ctx, "tcp4", u.Address.String())
+}
+
+// quick reports whether an upstream accepts a connection in a fifth of the time
+// that a doubted one is given.
+func (p *probes) quick(u *bundle.UpstreamRoute) bool {
+	if u == nil {
+		return false
+	}
+	began := time.Now()
+	conn, err := p.dial(u)
+	if err != nil {
+		return false
+	}
+	_ = conn.Close() // Nothing was sent.
+	return time.Since(began) < time.Duration(p.c.cfg.Load().ProbeTimeout)/quickPart
+}
+
+// quickPart is the part of the time-out in which a healthy upstream accepts.
+const quickPart = 5
+
 func (p *probes) identify(conn net.Conn, pr cookie.Probe) cookie.ProbeResult {
 	t := &http.Transport{
 		DisableKeepAlives: true,
--- a/internal/process/carrier/store.go
+++ b/internal/process/carrier/store.go
@@ -197,7 +197,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.catalog.Replace(list, s.AsOf, now) {
-		c.engine.SetUpstreams(c.catalog.List(), now)
+		c.engine.SetUpstreams(c.catalog.InUse(), now)
 	}
 	c.confirmList(now)
 }
@@ -210,7 +210,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.catalog.Apply(changes, ch.AsOf, now) {
-		c.engine.SetUpstreams(c.catalog.List(), now)
+		c.engine.SetUpstreams(c.catalog.InUse(), now)
 	}
 	c.confirmList(now)
 }
@@ -234,6 +234,11 @@
 func (c *Carrier) confirmBundle(at time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.confirmBundleAt(at)
+}
+
+// confirmBundleAt notes as of when the bundle in force is the newest. c.mu is held.
+func (c *Carrier) confirmBundleAt(at time.Time) {
 	if at.After(c.confirmedBundle) {
 		c.confirmedBundle = at
 	}
--- a/internal/process/logs/logs.go
+++ b/internal/process/logs/logs.go
@@ -3,11 +3,13 @@
 package logs
 
 import (
+	"flag"
 	"io"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"k8s.io/klog/v2"
 )
 
@@ -69,10 +71,18 @@
 	return len(b), nil
 }
 
-// Setup sends the lines of klog to w, all severities together.
-func Setup(w io.Writer) {
-	klog.LogToStderr(false)
+// Setup sends the lines of klog to w, each once: by itself klog writes an error to
+// the outputs of all lower severities too.
+func Setup(w io.Writer) error {
+	var flags flag.FlagSet
+	klog.InitFlags(&flags)
+	for name, value := range map[string]string{"logtostderr": "false", "one_output": "true"} {
+		if err := flags.Set(name, value); err != nil {
+			return eris.Wrapf(err, "logs: %s", name)
+		}
+	}
 	klog.SetOutput(w)
+	return nil
 }
 
 // Limiter bounds the lines of one kind in each second and counts those left out.
--- a/internal/version/registry/catalog.go
+++ b/internal/version/registry/catalog.go
@@ -18,9 +18,9 @@
 	// AsOf is the revision up to which every change is known.
 	AsOf    objects.Revision
 	entries map[bundle.UpstreamID]Registration
-	// vanished are entries that the store no longer has but that are still kept,
+	// vanished are upstreams that the store no longer has but that are still used,
 	// with the time until which they are.
-	vanished map[bundle.UpstreamID]time.Time
+	vanished map[bundle.UpstreamID]kept
 	// log holds the latest changes, for members that are a little behind.
 	log []logged
 	// doubtUntil is the time up to which a vanished entry may be a lapse of the
@@ -28,6 +28,11 @@
 	doubtUntil time.Time
 }
 
+type kept struct {
+	Registration
+	until time.Time
+}
+
 type logged struct {
 	at     time.Time
 	change Change
@@ -52,7 +57,7 @@
 func NewCatalog() *Catalog {
 	return &Catalog{
 		entries:  make(map[bundle.UpstreamID]Registration),
-		vanished: make(map[bundle.UpstreamID]time.Time),
+		vanished: make(map[bundle.UpstreamID]kept),
 	}
 }
 
@@ -60,7 +65,20 @@
 // Upstreams couldn't renew their entries meanwhile, so the store may have dropped
 // entries of live ones: without a doubt every such upstream would lose its flows.
 func (c *Catalog) StoreReturned(now time.Time) {
-	c.doubtUntil = now.Add(lapseGrace)
+	c.DoubtFor(lapseGrace, now)
+}
+
+// DoubtFor keeps entries that vanish within a time for the rest of it. A daemon
+// that hears the list from another takes over that one's doubt.
+func (c *Catalog) DoubtFor(d time.Duration, now time.Time) {
+	if until := now.Add(min(d, lapseGrace)); until.After(c.doubtUntil) {
+		c.doubtUntil = until
+	}
+}
+
+// Doubt returns for how long entries that vanish are still kept.
+func (c *Catalog) Doubt(now time.Time) time.Duration {
+	return max(0, c.doubtUntil.Sub(now))
 }
 
 // Replace takes in a whole list. It reports whether anything changed.
@@ -132,22 +150,14 @@
 	if !known {
 		return false
 	}
+	delete(c.entries, ch.ID)
+	c.note(Change{Registration: old, Gone: true}, now)
 	if !old.Draining && now.Before(c.doubtUntil) {
-		if _, ok := c.vanished[ch.ID]; !ok {
-			c.vanished[ch.ID] = c.doubtUntil
-		}
-		return false
+		c.vanished[ch.ID] = kept{Registration: old, until: c.doubtUntil}
 	}
-	c.remove(old, now)
 	return true
 }
 
-func (c *Catalog) remove(r Registration, now time.Time) {
-	delete(c.entries, r.ID)
-	delete(c.vanished, r.ID)
-	c.note(Change{Registration: r, Gone: true}, now)
-}
-
 func (c *Catalog) note(ch Change, now time.Time) {
 	if len(c.log) == maxLog {
 		c.log = slices.Delete(c.log, 0, 1)
@@ -159,9 +169,9 @@
 // were any.
 func (c *Catalog) Expire(now time.Time) bool {
 	changed := false
-	for id, until := range c.vanished {
-		if now.After(until) {
-			c.remove(c.entries[id], now)
+	for id, k := range c.vanished {
+		if now.After(k.until) {
+			delete(c.vanished, id)
 			changed = true
 		}
 	}
@@ -180,9 +190,9 @@
 	return out[max(0, len(out)-n):]
 }
 
-// Digest is a sum over all entries and their revisions. Two catalogs with one
-// digest hold the same entries, so a member sees without the list whether it
-// lacks something.
+// Digest is a sum over the store's entries and their revisions. Two catalogs with
+// one digest hold the same, so a member sees without the list whether it lacks
+// something. Vanished entries don't count: daemons may doubt for different times.
 func (c *Catalog) Digest() uint64 {
 	var sum uint64
 	var b [16]byte
@@ -194,7 +204,7 @@
 	return sum
 }
 
-// List returns all registrations in the order of their identifiers.
+// List returns the store's registrations in the order of their identifiers.
 func (c *Catalog) List() []Registration {
 	out := make([]Registration, 0, len(c.entries))
 	for _, id := range slices.Sorted(maps.Keys(c.entries)) {
@@ -203,5 +213,15 @@
 	return out
 }
 
-// Len returns how many registrations are known.
+// InUse returns the registrations to route by: the store's and those that vanished
+// from it but are still kept.
+func (c *Catalog) InUse() []Registration {
+	out := c.List()
+	for _, id := range slices.Sorted(maps.Keys(c.vanished)) {
+		out = append(out, c.vanished[id].Registration)
+	}
+	return out
+}
+
+// Len returns how many registrations the store has.
 func (c *Catalog) Len() int { return len(c.entries) }
