--- /dev/null
+++ b/cmd/soak/fault.go
@@ -0,0 +1,154 @@
+package main
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"syscall"
+	"time"
+
+	"github.com/fescueshed/fescueshed/internal/standin/world"
+	"github.com/fescueshed/fescueshed/platform/standin"
+)
+
+// fault is one kind of fault of the plan. It says what it did, or nothing if it
+// didn't fit.
+type fault struct {
+	name string
+	// weight is how often it comes, relative to the others.
+	weight int
+	// planned faults leave the users' bounds in force.
+	planned bool
+	inject  func(r *run) string
+}
+
+// Times of the faults. They overlap, since faults come more often than they end.
+const (
+	minFault = 200 * time.Millisecond
+	maxFault = 3 * time.Second
+)
+
+var faults = []fault{
+	{name: "kill", weight: 3, inject: func(r *run) string { return r.signal(syscall.SIGKILL) }},
+	{name: "terminate", weight: 3, inject: func(r *run) string { return r.signal(syscall.SIGTERM) }},
+	{name: "hang up", weight: 1, planned: true, inject: func(r *run) string { return r.signal(syscall.SIGHUP) }},
+	{name: "pause", weight: 3, inject: (*run).pause},
+	{name: "kill many", weight: 1, inject: (*run).killMany},
+	{name: "store link", weight: 4, inject: (*run).storeLink},
+	{name: "store", weight: 3, inject: (*run).store},
+	{name: "forget history", weight: 1, inject: (*run).forget},
+	{name: "router cut", weight: 2, inject: (*run).routerCut},
+	{name: "bundle", weight: 4, planned: true, inject: func(r *run) string { r.w.Roll(); return "next version" }},
+	{name: "drain", weight: 3, planned: true, inject: (*run).drain},
+	{name: "crash", weight: 2, inject: func(r *run) string { return r.crash(false) }},
+	{name: "crash and reuse", weight: 1, inject: func(r *run) string { return r.crash(true) }},
+	{name: "add", weight: 3, planned: true, inject: (*run).add},
+}
+
+// draw picks a fault by weight.
+func draw(rng *rand.Rand) *fault {
+	sum := 0
+	for i := range faults {
+		sum += faults[i].weight
+	}
+	x := rng.IntN(sum)
+	for i := range faults {
+		if x -= faults[i].weight; x < 0 {
+			return &faults[i]
+		}
+	}
+	panic("the weights add up")
+}
+
+func (r *run) duration() time.Duration {
+	return minFault + time.Duration(r.rng.Int64N(int64(maxFault-minFault)))
+}
+
+func (r *run) host() int { return r.rng.IntN(len(r.w.Hosts)) }
+
+func (r *run) signal(s syscall.Signal) string {
+	i := r.host()
+	r.procs[i].signal(s)
+	return fmt.Sprintf("%s gets %v", r.w.Hosts[i].Name, s)
+}
+
+func (r *run) pause() string {
+	i, d := r.host(), r.duration()
+	r.procs[i].pause(d)
+	return fmt.Sprintf("%s stands still for %v", r.w.Hosts[i].Name, d)
+}
+
+func (r *run) killMany() string {
+	for _, p := range r.procs {
+		if r.rng.IntN(4) > 0 {
+			p.signal(syscall.SIGKILL)
+		}
+	}
+	return "most balancers are killed"
+}
+
+func (r *run) storeLink() string {
+	h := r.w.Hosts[r.host()]
+	f := world.LinkFault(1 + r.rng.IntN(int(world.LinkFaults)-1))
+	d := r.duration()
+	h.Proxy.Set(f)
+	time.AfterFunc(d, func() { h.Proxy.Set(world.LinkGood) })
+	return fmt.Sprintf("%s's link to the store is %v for %v", h.Name, f, d)
+}
+
+func (r *run) store() string {
+	troubles := map[string]standin.Trouble{
+		"down":   {Status: http.StatusServiceUnavailable},
+		"busy":   {Status: http.StatusTooManyRequests},
+		"cut":    {Reset: true},
+		"silent": {Silent: true},
+		"slow":   {Delay: 250 * time.Millisecond},
+		"deaf":   {Deaf: true},
+	}
+	names := []string{"down", "busy", "cut", "silent", "slow", "deaf"}
+	name, d := names[r.rng.IntN(len(names))], r.duration()
+	r.w.Store.SetTrouble(troubles[name])
+	time.AfterFunc(d, func() {
+		if name == "deaf" {
+			r.w.Store.Forget()
+		}
+		r.w.Store.SetTrouble(standin.Trouble{})
+	})
+	return fmt.Sprintf("the store is %s for %v", name, d)
+}
+
+func (r *run) forget() string {
+	r.w.Store.Forget()
+	return "the store forgets its history"
+}
+
+func (r *run) routerCut() string {
+	h, d := r.w.Hosts[r.host()], r.duration()
+	at := r.w.DataAddress(h)
+	r.w.Router.Cut(at, true)
+	time.AfterFunc(d, func() { r.w.Router.Cut(at, false) })
+	return fmt.Sprintf("packets to %s are lost for %v", h.Name, d)
+}
+
+func (r *run) drain() string {
+	if !r.w.DrainServer() {
+		return ""
+	}
+	return "an upstream drains and leaves"
+}
+
+func (r *run) crash(reuse bool) string {
+	if !r.w.CrashServer(reuse) {
+		return ""
+	}
+	return fmt.Sprintf("an upstream crashes, address used again: %v", reuse)
+}
+
+func (r *run) add() string {
+	services := []string{world.ServiceFeed, world.ServiceSheets}
+	h := r.w.Hosts[r.host()]
+	if err := r.w.AddServer(services[r.rng.IntN(len(services))], h.Zone, r.none); err != nil {
+		return ""
+	}
+	return "an upstream joins in " + h.Zone
+}
--- /dev/null
+++ b/cmd/soak/run.go
@@ -0,0 +1,163 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/fescueshed/fescueshed/internal/standin/flows"
+	"github.com/fescueshed/fescueshed/internal/standin/world"
+)
+
+// run is one run of the soak.
+type run struct {
+	w     *world.World
+	rng   *rand.Rand
+	procs []*process
+	began time.Time
+	// none asks for an upstream at an address of its own.
+	none netip.AddrPort
+	plan []string
+}
+
+// Times around the faults of a run.
+const (
+	startWait = 10 * time.Second
+	// healWait is how long after the last fault has ended all must be served again:
+	// the longest fault, the lapse of a crashed upstream's entry, and the users' bound
+	// for a recovery is far more.
+	healWait = maxFault + 5*time.Second
+	// checkFor is the time after that over which availability is judged, leastServed
+	// the share that must be answered.
+	checkFor    = 3 * time.Second
+	leastServed = 0.98
+)
+
+// one plays one seed. It reports whether a promise was broken.
+func (c *commands) one(ctx context.Context, binary string, seed uint64) (bool, error) {
+	dir := filepath.Join(c.Keep, fmt.Sprintf("seed-%d", seed))
+	if err := os.MkdirAll(dir, 0o750); err != nil {
+		return false, eris.Wrap(err, "soak")
+	}
+	w, closeWorld, err := world.New(ctx, world.Options{
+		Seed: seed, Hosts: c.Hosts, Upstreams: c.Upstreams, Callers: c.Callers,
+	})
+	if err != nil {
+		return false, err
+	}
+	defer closeWorld()
+	r := &run{w: w, rng: rand.New(rand.NewPCG(seed, 1)), began: time.Now()}
+	defer r.stop()
+	if err := r.start(ctx, binary, dir); err != nil {
+		return false, err
+	}
+	broken, served, err := r.play(ctx, c)
+	if err != nil {
+		return false, err
+	}
+	fmt.Printf("seed %d: %s, %d broken promises\n", seed, served, len(broken))
+	if len(broken) == 0 {
+		_ = os.RemoveAll(dir) // Only the logs of failed runs are wanted.
+		return false, nil
+	}
+	for _, b := range broken {
+		fmt.Println("  broken:", b)
+	}
+	report := strings.Join(append(r.plan, broken...), "\n") + "\n"
+	return true, eris.Wrap(os.WriteFile(filepath.Join(dir, "report.txt"), []byte(report), 0o600), "soak")
+}
+
+func (r *run) start(ctx context.Context, binary, dir string) error {
+	for _, h := range r.w.Hosts {
+		p, err := newProcess(binary, dir, h.Name, r.w.Settings(h))
+		if err != nil {
+			return err
+		}
+		r.procs = append(r.procs, p)
+	}
+	for deadline := time.Now().Add(startWait); r.w.Router.InRotation() < len(r.procs); {
+		if time.Now().After(deadline) || ctx.Err() != nil {
+			return eris.Errorf("soak: %d of %d balancers are ready after %v", r.w.Router.InRotation(), len(r.procs), startWait)
+		}
+		time.Sleep(minFault)
+	}
+	return nil
+}
+
+func (r *run) stop() {
+	for _, p := range r.procs {
+		p.stop()
+	}
+}
+
+// play injects faults while callers work and judges what they and the upstreams saw.
+func (r *run) play(ctx context.Context, c *commands) ([]string, string, error) {
+	work, end := context.WithTimeout(ctx, c.Duration+healWait+checkFor)
+	defer end()
+	injected := make(chan struct{})
+	go func() {
+		defer close(injected)
+		r.inject(work, c)
+	}()
+	tallies, err := r.w.Work(work)
+	<-injected
+	if err != nil {
+		return nil, "", err
+	}
+	broken := r.w.Finish()
+	requests, answered := 0, 0
+	var last []flows.Outcome
+	since := time.Now().Add(-checkFor)
+	for i := range tallies {
+		t := &tallies[i]
+		requests += t.Requests
+		answered += t.Answered
+		broken = append(broken, t.Broken...)
+		for _, o := range t.Outcomes {
+			// Requests of the very end may not have had their time.
+			if o.At.After(since) && (o.Answered || time.Since(o.At) > checkFor-time.Second) {
+				last = append(last, o)
+			}
+		}
+	}
+	if s := share(last); s < leastServed {
+		broken = append(broken, fmt.Sprintf("only %.3f of %d requests answered after all faults had ended", s, len(last)))
+	}
+	sort.Strings(broken)
+	return broken, fmt.Sprintf("%d faults, %d of %d requests answered", len(r.plan), answered, requests), nil
+}
+
+func share(list []flows.Outcome) float64 {
+	n := 0
+	for _, o := range list {
+		if o.Answered {
+			n++
+		}
+	}
+	return float64(n) / float64(max(1, len(list)))
+}
+
+func (r *run) inject(ctx context.Context, c *commands) {
+	until := time.Now().Add(c.Duration)
+	for time.Now().Before(until) && ctx.Err() == nil {
+		pause := time.Duration(r.rng.Int64N(2 * int64(c.Pause)))
+		time.Sleep(min(pause, time.Until(until)))
+		f := draw(r.rng)
+		what := f.inject(r)
+		if what == "" {
+			continue
+		}
+		if !f.planned {
+			r.w.Disturbed(maxFault)
+		}
+		r.plan = append(r.plan, fmt.Sprintf("%s %s: %s", time.Now().Format("15:04:05.000"), f.name, what))
+	}
+}
--- /dev/null
+++ b/internal/connection/cookie/bench_test.go
@@ -0,0 +1,81 @@
+package cookie_test
+
+import (
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"github.com/fescueshed/fescueshed/internal/connection/cookie"
+	"github.com/fescueshed/fescueshed/internal/connection/upstream"
+)
+
+const (
+	benchUpstreams = 50
+	benchFlows     = 10_000
+)
+
+func benchEngine(b *testing.B) (*cookie.Engine, []*cookie.Packet) {
+	gomega.RegisterTestingT(b)
+	e := newEngine(registrations(benchUpstreams))
+	packets := make([]*cookie.Packet, 0, benchFlows)
+	for n := range benchFlows {
+		c := newCaller(n, feedAt)
+		c.open(e, start)
+		packets = append(packets, c.request(100))
+	}
+	return e, packets
+}
+
+// BenchmarkEstablished decides for packets of known flows.
+func BenchmarkEstablished(b *testing.B) {
+	e, packets := benchEngine(b)
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		p := packets[i%len(packets)]
+		p.Seq += 100
+		if e.Decide(p, start).Action != cookie.ActionForward {
+			b.Fatal("not forwarded")
+		}
+	}
+}
+
+// BenchmarkOpen places new flows among 50 upstreams of the zone.
+func BenchmarkOpen(b *testing.B) {
+	e, _ := benchEngine(b)
+	b.ReportAllocs()
+	now := start
+	for i := 0; b.Loop(); i++ {
+		p := newCaller(i%60_000, feedAt).first(0)
+		p.Key.CallerIP[0] = byte(i >> 16)
+		e.Decide(p, now)
+		if i%benchFlows == 0 {
+			now = now.Add(time.Minute)
+			e.Expire(now)
+		}
+	}
+}
+
+// BenchmarkNaive is what Established is compared with: hash modulo n, one map of
+// flows under one mutex, the least loaded of all at placing.
+func BenchmarkNaive(b *testing.B) {
+	_, packets := benchEngine(b)
+	var mu sync.Mutex
+	flows := make(map[[2]netip.AddrPort]*upstream.Load)
+	load := &upstream.Load{}
+	for _, p := range packets {
+		flows[[2]netip.AddrPort{p.Key.Caller(), p.Key.Service()}] = load
+	}
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		p := packets[i%len(packets)]
+		mu.Lock()
+		l := flows[[2]netip.AddrPort{p.Key.Caller(), p.Key.Service()}]
+		mu.Unlock()
+		if l == nil {
+			b.Fatal("not found")
+		}
+	}
+}
--- /dev/null
+++ b/internal/connection/cookie/differential_test.go
@@ -0,0 +1,180 @@
+package cookie_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/fescueshed/fescueshed/internal/connection/cookie"
+	"github.com/fescueshed/fescueshed/internal/version/bundle"
+	"github.com/fescueshed/fescueshed/internal/version/objects"
+	"github.com/fescueshed/fescueshed/internal/version/registry"
+)
+
+// cluster is several balancers behind routers that hand any packet to any of them,
+// with upstreams that come, drain and leave and lists that lag. The naive version
+// it is compared with is one map of flows to upstreams that knows everything.
+type cluster struct {
+	t       *rapid.T
+	now     time.Time
+	engines []*cookie.Engine
+	// truth is the store's list; each engine is told it late.
+	truth    map[bundle.UpstreamID]registry.Registration
+	left     map[bundle.UpstreamID]bool
+	revision objects.Revision
+	naive    map[*caller]bundle.UpstreamID
+	flows    []*caller
+}
+
+func newCluster(t *rapid.T) *cluster {
+	c := &cluster{
+		t: t, now: start,
+		truth: make(map[bundle.UpstreamID]registry.Registration),
+		left:  make(map[bundle.UpstreamID]bool),
+		naive: make(map[*caller]bundle.UpstreamID),
+	}
+	for range 4 {
+		c.join()
+	}
+	for range 3 {
+		c.engines = append(c.engines, newEngine(c.list()))
+	}
+	return c
+}
+
+func (c *cluster) list() []registry.Registration {
+	var out []registry.Registration
+	for _, r := range c.truth {
+		out = append(out, r)
+	}
+	return out
+}
+
+func (c *cluster) any() *cookie.Engine {
+	return c.engines[rapid.IntRange(0, len(c.engines)-1).Draw(c.t, "engine")]
+}
+
+func (c *cluster) join() {
+	c.revision++
+	r := registration(int(c.revision%200) + 1)
+	r.ID = bundle.UpstreamID(0xabc000 + c.revision)
+	r.Created, r.Revision = c.revision, c.revision
+	c.truth[r.ID] = r
+}
+
+// pick returns an upstream that isn't draining, if more than one is.
+func (c *cluster) pick(draining bool) (registry.Registration, bool) {
+	var fits []registry.Registration
+	for id := bundle.UpstreamID(0); id <= bundle.UpstreamID(0xabc000+c.revision); id++ {
+		if id == 1 {
+			id = 0xabc000
+		}
+		if r, ok := c.truth[id]; ok && r.Draining == draining {
+			fits = append(fits, r)
+		}
+	}
+	if len(fits) < 2 {
+		return registry.Registration{}, false
+	}
+	return fits[rapid.IntRange(0, len(fits)-1).Draw(c.t, "upstream")], true
+}
+
+func (c *cluster) drain() {
+	if r, ok := c.pick(false); ok {
+		c.revision++
+		r.Draining, r.Revision = true, c.revision
+		c.truth[r.ID] = r
+	}
+}
+
+// leave ends a draining upstream whose flows have ended.
+func (c *cluster) leave() {
+	r, ok := c.pick(true)
+	if !ok {
+		return
+	}
+	delete(c.truth, r.ID)
+	c.left[r.ID] = true
+	for f, u := range c.naive {
+		if u == r.ID {
+			delete(c.naive, f)
+		}
+	}
+}
+
+func (c *cluster) tell() {
+	e := c.any()
+	e.SetUpstreams(c.list(), c.now)
+	e.Confirm(c.now)
+}
+
+func (c *cluster) restart() {
+	i := rapid.IntRange(0, len(c.engines)-1).Draw(c.t, "restarted")
+	c.engines[i] = newEngine(c.list())
+}
+
+func (c *cluster) openFlow() {
+	f := newCaller(len(c.flows), feedAt)
+	c.flows = append(c.flows, f)
+	v := c.any().Decide(f.first(0), c.now)
+	if v.Action != cookie.ActionForward || c.left[v.Upstream.Route.ID] {
+		return // The upstream went and this balancer doesn't know yet: nobody answers.
+	}
+	f.answered(v.Upstream)
+	c.naive[f] = v.Upstream.Route.ID
+	c.send(f, f.ackPacket(1))
+}
+
+func (c *cluster) packet() {
+	if len(c.flows) == 0 {
+		return
+	}
+	f := c.flows[rapid.IntRange(0, len(c.flows)-1).Draw(c.t, "flow")]
+	if _, ok := c.naive[f]; !ok {
+		return
+	}
+	if rapid.Bool().Draw(c.t, "request") {
+		c.send(f, f.request(100))
+		return
+	}
+	c.send(f, f.ackPacket(500))
+}
+
+// send compares where a packet of an open flow goes with the naive version. A
+// balancer may not know the upstream yet and drop the packet; it must never reset
+// the flow or send it elsewhere.
+func (c *cluster) send(f *caller, p *cookie.Packet) {
+	v := c.any().Decide(p, c.now)
+	switch v.Action {
+	case cookie.ActionReset:
+		c.t.Fatalf("open flow reset: %v", v.Cause)
+	case cookie.ActionForward:
+		if got, want := v.Upstream.Route.ID, c.naive[f]; got != want {
+			c.t.Fatalf("sent to %x, want %x", got, want)
+		}
+	case cookie.ActionDrop:
+		if v.Cause != cookie.CauseUnknownCookie {
+			c.t.Fatalf("dropped: %v", v.Cause)
+		}
+	}
+}
+
+// TestDifferential draws sequences of planned change and compares every packet's
+// way with that of the naive version.
+func TestDifferential(t *testing.T) {
+	gomega.RegisterTestingT(t)
+	rapid.Check(t, func(t *rapid.T) {
+		c := newCluster(t)
+		steps := map[string]func(){
+			"join": c.join, "drain": c.drain, "leave": c.leave, "tell": c.tell, "restart": c.restart,
+			"open": c.openFlow, "packet": c.packet,
+		}
+		order := []string{"join", "drain", "leave", "tell", "tell", "restart", "open", "open", "packet", "packet", "packet", "packet"}
+		for range rapid.IntRange(10, 80).Draw(t, "steps") {
+			steps[rapid.SampledFrom(order).Draw(t, "step")]()
+			c.now = c.now.Add(time.Duration(rapid.IntRange(0, 300).Draw(t, "ms")) * time.Millisecond)
+		}
+	})
+}
--- /dev/null
+++ b/internal/connection/cookie/world_test.go
@@ -0,0 +1,130 @@
+package cookie_test
+
+import (
+	"fmt"
+	"net/netip"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/fescueshed/fescueshed/internal/connection/cookie"
+	"github.com/fescueshed/fescueshed/internal/connection/upstream"
+	"github.com/fescueshed/fescueshed/internal/version/bundle"
+	"github.com/fescueshed/fescueshed/internal/version/objects"
+	"github.com/fescueshed/fescueshed/internal/version/registry"
+)
+
+const (
+	ownZone   bundle.Zone = "a"
+	otherZone bundle.Zone = "b"
+)
+
+var (
+	start    = time.Unix(1_000_000, 0)
+	feedAt   = netip.MustParseAddrPort("198.18.0.1:443")
+	sheetsAt = netip.MustParseAddrPort("198.18.0.2:443")
+)
+
+// routing leads feedAt to "feed" and sheetsAt to "sheets", but for those left out.
+func routing(v bundle.Version, leaveOut ...netip.AddrPort) *bundle.Routing {
+	b := &bundle.Bundle{}
+	for name, at := range map[string]netip.AddrPort{"feed": feedAt, "sheets": sheetsAt} {
+		b.Services = append(b.Services, bundle.Service{
+			Name: name, Registered: true, Connections: 2000, IdleTimeout: bundle.Duration(15 * time.Second),
+		})
+		skip := false
+		for _, l := range leaveOut {
+			skip = skip || l == at
+		}
+		if !skip {
+			b.Routes = append(b.Routes, bundle.Route{
+				Name: name, Address: at, Targets: []bundle.Target{{Service: name, Weight: 1}},
+			})
+		}
+	}
+	Expect(b.Check()).To(Succeed())
+	return bundle.NewRouting(v, b, nil)
+}
+
+// registration is the nth upstream of "feed" in the own zone.
+func registration(n int) registry.Registration {
+	return registry.Registration{
+		ID: bundle.UpstreamID(0xabc000 + n), Service: "feed", Zone: ownZone, Slots: 2,
+		Address: netip.MustParseAddrPort(fmt.Sprintf("10.0.0.%d:8080", n)),
+		Created: objects.Revision(n), Revision: objects.Revision(n),
+	}
+}
+
+func registrations(n int) []registry.Registration {
+	var out []registry.Registration
+	for i := range n {
+		out = append(out, registration(i+1))
+	}
+	return out
+}
+
+func newEngine(list []registry.Registration) *cookie.Engine {
+	e := cookie.NewEngine(cookie.Options{
+		Zone:         ownZone,
+		Policy:       upstream.NewZoned(ownZone, upstream.DefaultChoices),
+		FlowLifetime: time.Minute,
+	})
+	e.SetRouting(routing(1))
+	e.SetUpstreams(list, start)
+	e.Confirm(start)
+	return e
+}
+
+// caller is one flow of a caller, with what a caller keeps of it.
+type caller struct {
+	key      cookie.Key
+	seq, ack uint32
+	cookie   cookie.Cookie
+}
+
+func newCaller(n int, to netip.AddrPort) *caller {
+	return &caller{
+		key: cookie.Key{
+			CallerIP: [4]byte{100, 64, byte(n >> 8), byte(n)}, CallerPort: uint16(1024 + n),
+			ServiceIP: to.Addr().As4(), ServicePort: to.Port(),
+		},
+		seq: 1000, ack: 5000,
+	}
+}
+
+func (c *caller) first(copies uint32) *cookie.Packet {
+	return &cookie.Packet{Key: c.key, Flags: cookie.FlagSYN, Seq: c.seq, Copy: copies}
+}
+
+// answered takes in an upstream's packet, which bears its cookie.
+func (c *caller) answered(u *cookie.Upstream) { c.cookie = u.Cookie }
+
+// ackPacket acknowledges n bytes more.
+func (c *caller) ackPacket(n uint32) *cookie.Packet {
+	c.ack += n
+	return &cookie.Packet{Key: c.key, Flags: cookie.FlagACK, Seq: c.seq, Ack: c.ack, Cookie: c.cookie}
+}
+
+// request sends so many bytes; repeated sends the last ones again.
+func (c *caller) request(n int) *cookie.Packet {
+	p := &cookie.Packet{Key: c.key, Flags: cookie.FlagACK, Seq: c.seq, Ack: c.ack, Cookie: c.cookie, Length: n}
+	c.seq += uint32(n)
+	return p
+}
+
+// open places a flow and acknowledges the upstream's answer.
+func (c *caller) open(e *cookie.Engine, now time.Time) *cookie.Upstream {
+	v := e.Decide(c.first(0), now)
+	ExpectWithOffset(1, v.Action).To(Equal(cookie.ActionForward))
+	c.answered(v.Upstream)
+	ExpectWithOffset(1, e.Decide(c.ackPacket(1), now).Upstream).To(Equal(v.Upstream))
+	return v.Upstream
+}
+
+// id returns where a verdict sends the packet, zero if nowhere.
+func id(v cookie.Verdict) bundle.UpstreamID {
+	if v.Action != cookie.ActionForward {
+		return 0
+	}
+	return v.Upstream.Route.ID
+}
--- /dev/null
+++ b/internal/connection/peer/reader_test.go
@@ -0,0 +1,83 @@
+package peer_test
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/fescueshed/fescueshed/internal/connection/peer"
+	"github.com/fescueshed/fescueshed/internal/version/bundle"
+)
+
+var _ = Describe("Reading the store for a zone", func() {
+	member := func(name string, zone bundle.Zone, size uint32, s peer.State) peer.Member {
+		return peer.Member{ID: peer.IDOf(name), Name: name, Zone: zone, Size: size, State: s}
+	}
+
+	It("falls to the largest host of the zone that stays", func() {
+		members := []peer.Member{
+			member("small", "a", 60, peer.StateAlive),
+			member("large", "a", 800, peer.StateAlive),
+			member("other", "b", 800, peer.StateAlive),
+		}
+		rank := func(name string) int { return peer.NewView(peer.IDOf(name), members, peer.Changes{}).ReaderRank() }
+		Expect(rank("large")).To(Equal(0))
+		Expect(rank("small")).To(Equal(1))
+		Expect(rank("other")).To(Equal(0))
+		members[1].State = peer.StateLeaving
+		Expect(rank("small")).To(Equal(0))
+		Expect(rank("large")).To(Equal(1))
+	})
+
+	now := time.Unix(1_000_000, 0)
+
+	// The reader freezes, is cut off, or is turned away by the store. No error shows
+	// it to the others; a bundle would reach the zone only when it is back.
+	It("is taken over by the next in rank when no fresh news are heard", func() {
+		for rank, after := range map[int]time.Duration{1: 2 * time.Second, 2: 2200 * time.Millisecond, 20: 2400 * time.Millisecond} {
+			var r peer.Reading
+			r.Heard(now, true)
+			Expect(r.Reads(rank, now.Add(after))).To(BeFalse())
+			Expect(r.Reads(rank, now.Add(after+time.Millisecond))).To(BeTrue())
+		}
+	})
+
+	It("ends when one before in rank tells fresh news again, not when one behind does", func() {
+		var r peer.Reading
+		Expect(r.Reads(2, now)).To(BeTrue())
+		r.Heard(now.Add(time.Second), false)
+		Expect(r.Reads(2, now.Add(time.Second))).To(BeTrue())
+		r.Heard(now.Add(time.Second), true)
+		Expect(r.Reads(2, now.Add(time.Second))).To(BeFalse())
+		Expect(r.Reads(0, now.Add(time.Second))).To(BeTrue(), "the first always reads")
+	})
+
+	It("is decided before the users' smallest bound of three seconds by every rank", func() {
+		var r peer.Reading
+		r.Heard(now, true)
+		Expect(r.Reads(1_000_000, now.Add(2500*time.Millisecond))).To(BeTrue())
+	})
+})
+
+var _ = Describe("A daemon that joins", func() {
+	It("knows at once whom another knows", func() {
+		known := newGroup("known")
+		for i := range 70 {
+			m := newGroup(string(rune('A' + i))).Self()
+			known.Learn(time.Unix(1, 0), []peer.Member{m})
+		}
+		joining := newGroup("joining")
+		joining.Learn(time.Unix(2, 0), known.Known())
+		Expect(joining.View().Members).To(HaveLen(72))
+	})
+})
+
+func newGroup(name string) *peer.Membership {
+	at := netip.MustParseAddrPort("127.0.0.1:1")
+	return peer.NewMembership(peer.Config{}, peer.Member{
+		ID: peer.IDOf(name), Name: name, Zone: "a", Data: at, Control: at, RPC: at, Incarnation: 1,
+	}, rand.New(rand.NewPCG(1, 2)))
+}
--- /dev/null
+++ b/internal/standin/world/callers.go
@@ -0,0 +1,55 @@
+package world
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/fescueshed/fescueshed/internal/standin/flows"
+	"github.com/fescueshed/fescueshed/platform/standin"
+)
+
+// callerRetries is how often callers repeat a request that may be repeated.
+const callerRetries = 2
+
+// Work lets all callers make requests until ctx ends and returns what they saw.
+func (w *World) Work(ctx context.Context) ([]flows.Tally, error) {
+	var wg sync.WaitGroup
+	tallies := make([]flows.Tally, w.opts.Callers)
+	for i := range tallies {
+		c, stop, err := flows.NewCaller(w.caller(i))
+		if err != nil {
+			return nil, err
+		}
+		wg.Go(func() {
+			defer stop()
+			tallies[i] = c.Run(ctx)
+		})
+	}
+	wg.Wait()
+	return tallies, nil
+}
+
+func (w *World) caller(i int) flows.CallerOptions {
+	o := flows.CallerOptions{
+		IP: netip.AddrFrom4([4]byte{127, 1, byte(i >> 8), byte(i + 1)}), Port: w.ports.Data,
+		Idempotent: i%3 != 0, Period: callerPeriod, Deadline: callerDeadline, Retries: callerRetries,
+		Router: w.Router, Codec: standin.Segments{}, Rng: rand.New(rand.NewPCG(w.opts.Seed, uint64(i))),
+		Judge: w.Judge,
+	}
+	switch i % 4 {
+	case 0, 1:
+		o.Service, o.Serves = feedAt, only(ServiceFeed)
+	case 2:
+		o.Service, o.Serves = sheetsAt, only(ServiceSheets)
+	case 3:
+		o.Service, o.Serves, o.Fresh = switchAt, w.Serves, true
+	}
+	return o
+}
+
+func only(service string) func(string, time.Time) bool {
+	return func(s string, _ time.Time) bool { return s == service }
+}
--- /dev/null
+++ b/internal/standin/world/proxy.go
@@ -0,0 +1,155 @@
+package world
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// LinkFault is what a Proxy does to the connections that pass it.
+type LinkFault uint8
+
+// The faults of a link.
+const (
+	LinkGood LinkFault = iota
+	// LinkReset cuts connections and refuses new ones.
+	LinkReset
+	// LinkSilent passes nothing, either way, without a word.
+	LinkSilent
+	// LinkDeaf passes requests but no answers: what is asked happens.
+	LinkDeaf
+	// LinkSlow holds everything back by slowLink.
+	LinkSlow
+	// LinkFaults is the number of faults.
+	LinkFaults
+)
+
+var linkNames = [...]string{"good", "reset", "silent", "deaf", "slow"}
+
+// String names the fault.
+func (f LinkFault) String() string { return linkNames[f] }
+
+const (
+	slowLink    = 150 * time.Millisecond
+	proxyBuffer = 32 << 10
+)
+
+// Proxy passes TCP connections on, with faults. It is safe for concurrent use.
+type Proxy struct {
+	l  net.Listener
+	to netip.AddrPort
+
+	mu    sync.Mutex
+	fault LinkFault
+	conns map[net.Conn]struct{}
+}
+
+// NewProxy listens at an address and passes connections on to another. The clean-up
+// function ends all.
+func NewProxy(at, to netip.AddrPort) (*Proxy, func(), error) {
+	l, err := net.Listen("tcp4", at.String())
+	if err != nil {
+		return nil, nil, eris.Wrap(err, "proxy")
+	}
+	p := &Proxy{l: l, to: to, conns: make(map[net.Conn]struct{})}
+	go p.run()
+	return p, func() {
+		_ = l.Close()
+		p.cut()
+	}, nil
+}
+
+// Set changes the fault. A reset cuts what is open.
+func (p *Proxy) Set(f LinkFault) {
+	p.mu.Lock()
+	p.fault = f
+	p.mu.Unlock()
+	if f == LinkReset {
+		p.cut()
+	}
+}
+
+func (p *Proxy) cut() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for c := range p.conns {
+		_ = c.Close()
+	}
+}
+
+func (p *Proxy) get() LinkFault {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.fault
+}
+
+func (p *Proxy) run() {
+	for {
+		c, err := p.l.Accept()
+		if err != nil {
+			return // The proxy was closed.
+		}
+		if p.get() == LinkReset {
+			_ = c.Close()
+			continue
+		}
+		go p.pass(c)
+	}
+}
+
+func (p *Proxy) pass(c net.Conn) {
+	defer p.keep(c)()
+	var d net.Dialer
+	up, err := d.DialContext(context.Background(), "tcp4", p.to.String())
+	if err != nil {
+		return // The target ended.
+	}
+	defer p.keep(up)()
+	done := make(chan struct{}, 2)
+	go p.copy(up, c, false, done)
+	go p.copy(c, up, true, done)
+	<-done
+}
+
+// keep notes a connection and returns the function that closes it.
+func (p *Proxy) keep(c net.Conn) func() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.conns[c] = struct{}{}
+	return func() {
+		_ = c.Close()
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		delete(p.conns, c)
+	}
+}
+
+// copy passes bytes on. A connection that met silence stays silent for good, as one
+// does that something on the way lost track of.
+func (p *Proxy) copy(dst io.Writer, src io.Reader, answers bool, done chan<- struct{}) {
+	defer func() { done <- struct{}{} }()
+	buf := make([]byte, proxyBuffer)
+	silent := false
+	for {
+		n, err := src.Read(buf)
+		if err != nil {
+			return
+		}
+		f := p.get()
+		silent = silent || f == LinkSilent || f == LinkDeaf && answers
+		if silent {
+			continue
+		}
+		if f == LinkSlow {
+			time.Sleep(slowLink)
+		}
+		if _, err := dst.Write(buf[:n]); err != nil {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/standin/world/servers.go
@@ -0,0 +1,147 @@
+package world
+
+import (
+	"fmt"
+	"net/netip"
+	"time"
+
+	"github.com/fescueshed/fescueshed/internal/connection/cookie"
+)
+
+// leastServers is how many upstreams of a service are left alone in each zone.
+const leastServers = 1
+
+// pick returns an upstream that may go: one whose zone keeps another of its
+// service. w.mu is held.
+func (w *World) pick() *Server {
+	var fits []*Server
+	for _, s := range w.servers {
+		n := 0
+		for _, o := range w.servers {
+			if o.Service == s.Service && o.Zone == s.Zone && o.drained.IsZero() {
+				n++
+			}
+		}
+		if n > leastServers && s.drained.IsZero() {
+			fits = append(fits, s)
+		}
+	}
+	if len(fits) == 0 {
+		return nil
+	}
+	return fits[w.rng.IntN(len(fits))]
+}
+
+func (w *World) drop(s *Server) {
+	for i, o := range w.servers {
+		if o == s {
+			w.servers = append(w.servers[:i], w.servers[i+1:]...)
+			w.past = append(w.past, s)
+			return
+		}
+	}
+}
+
+// DrainServer lets an upstream leave as planned: it says so, serves on for the bound
+// and a little longer, and ends. Its flows close after their next answers.
+func (w *World) DrainServer() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	s := w.pick()
+	if s == nil {
+		return false
+	}
+	s.drained = time.Now()
+	s.Drain()
+	w.register(s)
+	time.AfterFunc(drainWithin+time.Second, func() {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		s.crashing = time.Now()
+		s.end()
+		w.drop(s)
+		w.Store.Lapse(s.ID)
+	})
+	return true
+}
+
+// CrashServer ends an upstream at once; its entry lapses later. If reuse is set, an
+// upstream of the other service then starts at its address.
+func (w *World) CrashServer(reuse bool) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	s := w.pick()
+	if s == nil {
+		return false
+	}
+	s.crashed, s.crashing = true, time.Now()
+	s.end()
+	w.drop(s)
+	time.AfterFunc(lapseAfter, func() {
+		w.Store.Lapse(s.ID)
+		if reuse {
+			// The address may still be in use for a moment; then there is no reuse.
+			_ = w.AddServer(other(s.Service), string(s.Zone), s.Address)
+		}
+	})
+	return true
+}
+
+func other(service string) string {
+	if service == ServiceFeed {
+		return ServiceSheets
+	}
+	return ServiceFeed
+}
+
+// Judge implements the rule for resets of open flows: an upstream that lives and
+// didn't reset the flow itself keeps it.
+func (w *World) Judge(c cookie.Cookie, caller netip.AddrPort) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	s := w.find(c)
+	return s == nil || !s.Alive() || !s.crashing.IsZero() || s.Reset(caller)
+}
+
+// Serves implements the rule for the switching route: a flow goes to the service
+// that was in force when it opened, or not longer before than the bound.
+func (w *World) Serves(service string, opened time.Time) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !w.settled(opened) {
+		return true
+	}
+	for i, s := range w.switches {
+		last := i == len(w.switches)-1
+		if s.service == service && (last || w.switches[i+1].at.After(opened.Add(-inForceWithin))) {
+			return true
+		}
+	}
+	return false
+}
+
+// Finish returns the broken promises that the upstreams show: requests that ran
+// twice and flows that reached a draining upstream too late.
+func (w *World) Finish() []string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var out []string
+	runs := make(map[uint64]int)
+	for _, list := range [][]*Server{w.servers, w.past} {
+		for _, s := range list {
+			for id, n := range s.Runs() {
+				runs[uint64(id)] += n
+			}
+			late := s.drained.Add(drainWithin)
+			if !s.drained.IsZero() && w.unstable.Before(s.drained.Add(-settleAfter)) && s.OpenedAfter(late) > 0 {
+				out = append(out, fmt.Sprintf("flows reached upstream %x too long after it drained", s.ID))
+			}
+		}
+	}
+	for id, n := range runs {
+		if n > 1 {
+			out = append(out, fmt.Sprintf("request %x ran %d times", id, n))
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/standin/world/world.go
@@ -0,0 +1,305 @@
+// Package world puts balancers that carry flows by cookie among stand-ins on
+// loopback: the store, routers, callers and upstreams, with faults from outside.
+package world
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/fescueshed/fescueshed/internal/connection/cookie"
+	"github.com/fescueshed/fescueshed/internal/standin/flows"
+	"github.com/fescueshed/fescueshed/internal/version/bundle"
+	"github.com/fescueshed/fescueshed/internal/version/registry"
+	"github.com/fescueshed/fescueshed/platform/standin"
+)
+
+// Sizes of a world.
+const (
+	zones          = 3
+	slotsPerServer = 4
+	connections    = 2000
+	idleTimeout    = 15 * time.Second
+	maxVersionStep = 5
+	workTime       = 10 * time.Millisecond
+	callerPeriod   = 150 * time.Millisecond
+	callerDeadline = 2 * time.Second
+	// lapseAfter is when the entry of an upstream that crashed lapses.
+	lapseAfter = 3600 * time.Millisecond
+	// inForceWithin and drainWithin are the users' bounds.
+	inForceWithin = 3 * time.Second
+	drainWithin   = 3 * time.Second
+	// settleAfter is how long after a fault the bounds don't hold.
+	settleAfter = 4 * time.Second
+)
+
+// The services of a world. Callers of Switch are led to one of the two by turns.
+const (
+	ServiceFeed   = "feed"
+	ServiceSheets = "sheets"
+)
+
+// Ports are those of one world, the same on all hosts.
+type Ports struct {
+	Data, Ready, Control, Metrics, Store, Proxy uint16
+}
+
+// Options are the settings of a World.
+type Options struct {
+	Seed      uint64
+	Hosts     int
+	Upstreams int
+	Callers   int
+}
+
+// World is the stand-ins of one run. Its methods are safe for concurrent use.
+type World struct {
+	opts    Options
+	ports   Ports
+	Store   *standin.Store
+	Router  *flows.Router
+	Hosts   []*Host
+	cleanup []func()
+
+	mu        sync.Mutex
+	rng       *rand.Rand
+	next      int
+	servers   []*Server
+	past      []*Server
+	version   bundle.Version
+	switches  []switched
+	unstable  time.Time
+	lastRoute string
+}
+
+// Host is where a balancer runs.
+type Host struct {
+	Name  string
+	Zone  string
+	IP    netip.Addr
+	Proxy *Proxy
+	route *flows.Host
+}
+
+// Server is an upstream with its entry in the store.
+type Server struct {
+	*flows.Upstream
+	end      func()
+	drained  time.Time
+	crashed  bool
+	crashing time.Time
+}
+
+// switched is a change of the service that the switching route leads to.
+type switched struct {
+	at      time.Time
+	service string
+}
+
+// Addresses that callers send to.
+var (
+	feedAt   = netip.MustParseAddrPort("198.18.0.1:443")
+	sheetsAt = netip.MustParseAddrPort("198.18.0.2:443")
+	switchAt = netip.MustParseAddrPort("198.18.0.3:443")
+)
+
+// New starts the stand-ins. The clean-up function ends them.
+func New(ctx context.Context, o Options) (*World, func(), error) {
+	w := &World{opts: o, Store: standin.NewStore(), rng: rand.New(rand.NewPCG(o.Seed, o.Seed)), lastRoute: ServiceFeed}
+	ctx, cancel := context.WithCancel(ctx)
+	w.cleanup = append(w.cleanup, cancel)
+	for _, step := range []func(context.Context) error{w.findPorts, w.startStore, w.startHosts, w.startServers} {
+		if err := step(ctx); err != nil {
+			w.close()
+			return nil, nil, err
+		}
+	}
+	return w, w.close, nil
+}
+
+func (w *World) close() {
+	for i := len(w.cleanup) - 1; i >= 0; i-- {
+		w.cleanup[i]()
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, s := range w.servers {
+		s.end()
+	}
+}
+
+// findPorts takes ports that are free on the first address of the loopback range.
+func (w *World) findPorts(context.Context) error {
+	var found []uint16
+	for range 6 {
+		l, err := net.Listen("tcp4", "127.0.0.1:0")
+		if err != nil {
+			return eris.Wrap(err, "world: ports")
+		}
+		defer func() { _ = l.Close() }()
+		found = append(found, uint16(l.Addr().(*net.TCPAddr).Port))
+	}
+	w.ports = Ports{Data: found[0], Ready: found[1], Control: found[2], Metrics: found[3], Store: found[4], Proxy: found[5]}
+	return nil
+}
+
+func (w *World) storeAt() netip.AddrPort {
+	return netip.AddrPortFrom(netip.MustParseAddr("127.0.250.1"), w.ports.Store)
+}
+
+func (w *World) startStore(context.Context) error {
+	l, err := net.Listen("tcp4", w.storeAt().String())
+	if err != nil {
+		return eris.Wrap(err, "world: store")
+	}
+	s := &http.Server{Handler: w.Store, ReadHeaderTimeout: time.Second}
+	go func() { _ = s.Serve(l) }()
+	w.cleanup = append(w.cleanup, func() { _ = s.Close() })
+	w.Roll()
+	return nil
+}
+
+func (w *World) startHosts(ctx context.Context) error {
+	var routed []*flows.Host
+	for i := range w.opts.Hosts {
+		ip := netip.AddrFrom4([4]byte{127, 0, byte(1 + i%zones), byte(1 + i/zones)})
+		h := &Host{Name: fmt.Sprintf("host-%d", i+1), Zone: zoneName(i % zones), IP: ip}
+		p, stop, err := NewProxy(netip.AddrPortFrom(ip, w.ports.Proxy), w.storeAt())
+		if err != nil {
+			return err
+		}
+		w.cleanup = append(w.cleanup, stop)
+		h.Proxy = p
+		h.route = &flows.Host{
+			Data:  netip.AddrPortFrom(ip, w.ports.Data),
+			Ready: standin.ReadinessURL(netip.AddrPortFrom(ip, w.ports.Ready)),
+		}
+		routed = append(routed, h.route)
+		w.Hosts = append(w.Hosts, h)
+	}
+	w.Router = flows.NewRouter(ctx, routed)
+	return nil
+}
+
+func zoneName(i int) string { return "zone-" + strconv.Itoa(i+1) }
+
+func (w *World) startServers(context.Context) error {
+	for i := range w.opts.Upstreams {
+		service := ServiceFeed
+		if i%3 == 2 {
+			service = ServiceSheets
+		}
+		if err := w.AddServer(service, zoneName(i%zones), netip.AddrPort{}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// AddServer starts an upstream and registers it. It gets an address of its own if
+// none is given.
+func (w *World) AddServer(service, zone string, at netip.AddrPort) error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.next++
+	if !at.IsValid() {
+		ip := netip.AddrFrom4([4]byte{127, 2, byte(w.next >> 8), byte(w.next)})
+		at = netip.AddrPortFrom(ip, w.ports.Data)
+	}
+	id := bundle.UpstreamID(w.rng.Uint64N(1 << 40))
+	u, end, err := flows.NewUpstream(flows.UpstreamOptions{
+		ID: id, Service: service, Zone: bundle.Zone(zone), Address: at, CallerPort: w.ports.Data,
+		Work: workTime, Slots: slotsPerServer, Codec: standin.Segments{}, Health: standin.Health(id),
+	})
+	if err != nil {
+		return err
+	}
+	s := &Server{Upstream: u, end: end}
+	w.servers = append(w.servers, s)
+	w.register(s)
+	return nil
+}
+
+func (w *World) register(s *Server) {
+	w.Store.Register(&registry.Registration{
+		ID: s.ID, Service: s.Service, Address: s.Address, Zone: s.Zone, Slots: s.Slots, Draining: !s.drained.IsZero(),
+	})
+}
+
+// Roll accepts the next version of the bundle. The switching route leads to the
+// other service than before.
+func (w *World) Roll() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.version += bundle.Version(1 + w.rng.Uint64N(maxVersionStep))
+	w.lastRoute = other(w.lastRoute)
+	b := &bundle.Bundle{
+		Routes: []bundle.Route{
+			route("feed", feedAt, ServiceFeed), route("sheets", sheetsAt, ServiceSheets), route("switch", switchAt, w.lastRoute),
+		},
+	}
+	for _, name := range []string{ServiceFeed, ServiceSheets} {
+		b.Services = append(b.Services, bundle.Service{
+			Name: name, Registered: true, HealthPath: "/healthz", Connections: connections,
+			IdleTimeout: bundle.Duration(idleTimeout),
+		})
+	}
+	w.Store.Accept(w.version, b)
+	w.switches = append(w.switches, switched{at: time.Now(), service: w.lastRoute})
+}
+
+func route(name string, at netip.AddrPort, service string) bundle.Route {
+	return bundle.Route{
+		Name: name, Address: at, Targets: []bundle.Target{{Service: service, Weight: 1}},
+		Deadline: bundle.Duration(callerDeadline),
+	}
+}
+
+// Settings returns the settings file of a host's daemon.
+func (w *World) Settings(h *Host) string {
+	seeds := ""
+	for i := range min(zones, len(w.Hosts)) {
+		seeds += fmt.Sprintf("%q,", netip.AddrPortFrom(w.Hosts[i].IP, w.ports.Control))
+	}
+	at := func(port uint16) string { return strconv.Quote(netip.AddrPortFrom(h.IP, port).String()) }
+	return fmt.Sprintf(`{
+  "Name": %q, "Zone": %q, "CPUShare": 1, "Seeds": [%s],
+  "DataAddress": %s, "ReadinessAddress": %s, "ControlAddress": %s, "MetricsAddress": %s,
+  "Store": "http://%s", "Secret": "c2VjcmV0IG9mIHRoZSB3b3JsZA==",
+}
+`, h.Name, h.Zone, seeds, at(w.ports.Data), at(w.ports.Ready), at(w.ports.Control), at(w.ports.Metrics),
+		netip.AddrPortFrom(h.IP, w.ports.Proxy))
+}
+
+// DataAddress returns where a host's daemon takes packets.
+func (w *World) DataAddress(h *Host) netip.AddrPort { return h.route.Data }
+
+// Disturbed notes that a fault is at work for a time: the bounds on time don't hold
+// until settleAfter has passed after it.
+func (w *World) Disturbed(d time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.unstable = time.Now().Add(d)
+}
+
+func (w *World) settled(at time.Time) bool { return at.Sub(w.unstable) > settleAfter }
+
+// find returns the server that a cookie names.
+func (w *World) find(c cookie.Cookie) *Server {
+	for _, list := range [][]*Server{w.servers, w.past} {
+		for _, s := range list {
+			if cookie.Of(s.ID) == c {
+				return s
+			}
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/version/registry/catalog_test.go
@@ -0,0 +1,107 @@
+package registry_test
+
+import (
+	"fmt"
+	"net/netip"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/fescueshed/fescueshed/internal/version/bundle"
+	"github.com/fescueshed/fescueshed/internal/version/objects"
+	"github.com/fescueshed/fescueshed/internal/version/registry"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+func entry(n int) registry.Registration {
+	return registry.Registration{
+		ID: bundle.UpstreamID(n), Service: "feed", Zone: "a", Slots: 2,
+		Address: netip.MustParseAddrPort(fmt.Sprintf("10.0.0.%d:80", n)), Revision: objects.Revision(n),
+	}
+}
+
+func entries(n int) []registry.Registration {
+	var out []registry.Registration
+	for i := range n {
+		out = append(out, entry(i+1))
+	}
+	return out
+}
+
+func filled(n int) *registry.Catalog {
+	c := registry.NewCatalog()
+	c.Replace(entries(n), 100, start)
+	return c
+}
+
+var _ = Describe("A catalog", func() {
+	It("never goes back to an older list", func() {
+		c := filled(3)
+		Expect(c.Replace(entries(2), 99, start)).To(BeFalse())
+		Expect(c.Apply([]registry.Change{{Registration: entry(1), Gone: true}}, 99, start)).To(BeFalse())
+		Expect(c.InUse()).To(HaveLen(3))
+	})
+
+	It("believes at once that a single upstream went", func() {
+		c := filled(8)
+		Expect(c.Apply([]registry.Change{{Registration: entry(1), Gone: true}}, 101, start)).To(BeTrue())
+		Expect(c.InUse()).To(HaveLen(7))
+	})
+
+	// The store was down, so upstreams couldn't renew their entries. It comes back
+	// without them, and every desk's feed would be reset; two seconds later the
+	// entries are there again.
+	It("keeps entries that lapsed while the store was away until they are back", func() {
+		c := filled(8)
+		c.StoreReturned(start)
+		c.Replace(entries(5), 110, start)
+		Expect(c.InUse()).To(HaveLen(8))
+		Expect(c.Len()).To(Equal(5))
+		c.Apply([]registry.Change{{Registration: entry(7)}}, 111, start.Add(time.Second))
+		Expect(c.Expire(start.Add(3 * time.Second))).To(BeTrue())
+		Expect(c.InUse()).To(HaveLen(6), "what is still missing is gone")
+	})
+
+	It("doesn't keep one that was draining", func() {
+		c := registry.NewCatalog()
+		list := entries(8)
+		list[0].Draining = true
+		c.Replace(list, 100, start)
+		c.StoreReturned(start)
+		c.Replace(list[1:], 110, start)
+		Expect(c.InUse()).To(HaveLen(7))
+	})
+
+	// The store lost its leases and lists nobody. Believing it would end every flow.
+	It("doubts a list that empties itself at once, though the store never failed", func() {
+		c := filled(8)
+		c.Replace(nil, 110, start)
+		Expect(c.InUse()).To(HaveLen(8))
+		c.Expire(start.Add(3 * time.Second))
+		Expect(c.InUse()).To(BeEmpty())
+	})
+
+	It("tells members what changed lately, so that they reach the same digest", func() {
+		c, member := filled(8), filled(8)
+		changed := entry(3)
+		changed.Draining, changed.Revision = true, 101
+		now := start.Add(time.Second)
+		c.Apply([]registry.Change{{Registration: changed}, {Registration: entry(4), Gone: true}}, 102, now)
+		Expect(member.Digest()).NotTo(Equal(c.Digest()))
+		member.Apply(c.Recent(now.Add(-500*time.Millisecond), 10), c.AsOf, now)
+		Expect(member.Digest()).To(Equal(c.Digest()))
+		Expect(member.Apply(c.Recent(start, 10), c.AsOf, now)).To(BeFalse(), "heard twice")
+		Expect(c.Recent(start, 1)).To(HaveLen(1))
+	})
+
+	It("has the same digest as one that doubts", func() {
+		c, doubting := filled(8), filled(8)
+		doubting.StoreReturned(start)
+		c.Replace(entries(7), 110, start)
+		doubting.Replace(entries(7), 110, start)
+		Expect(doubting.InUse()).To(HaveLen(8))
+		Expect(doubting.Digest()).To(Equal(c.Digest()))
+	})
+})
