upstream: spill new flows to another zone by utilization

Change: zones' readers tell each other how many flows their usable upstreams hold a slot; a balancer measures how many requests are in progress for each flow; both together give the utilization. New flows cross above 0.8 if the other zone is 0.25 below.

--- a/internal/connection/cookie/engine.go
+++ b/internal/connection/cookie/engine.go
@@ -35,6 +35,8 @@
 	confirmed time.Time
 	// heard is when any upstream last showed a sign of life.
 	heard      time.Time
+	busy       map[string]busyness
+	zones      map[zoneService]zoneLoad
 	candidates []upstream.Candidate
 	Board      *upstream.Board
 	Counters   Counters
@@ -59,6 +61,8 @@
 		byService: make(map[string][]*Upstream),
 		flows:     make(map[Key]*flow),
 		unknown:   make(map[Cookie]time.Time),
+		busy:      make(map[string]busyness),
+		zones:     make(map[zoneService]zoneLoad),
 		Board:     upstream.NewBoard(),
 	}
 }
--- a/internal/connection/cookie/open.go
+++ b/internal/connection/cookie/open.go
@@ -67,6 +67,7 @@
 // choose asks the policy for one of the service's upstreams that take flows, the
 // given ones left out. If none does, those that are only suspected are asked for.
 func (e *Engine) choose(s *bundle.ServiceRoute, seed uint64, not []*Upstream, now time.Time) *Upstream {
+	busy := e.busy[s.Name].perFlow
 	for _, suspected := range [...]bool{false, true} {
 		e.candidates = e.candidates[:0]
 		for _, u := range e.byService[s.Name] {
@@ -77,6 +78,9 @@
 				Route: u.Route,
 				Load:  u.load,
 				Cold:  now.Before(u.coldUntil),
+				Busy:  busy,
+
+				ZoneFlows: e.zoneFlows(u),
 			})
 		}
 		if r := e.opts.Policy.Choose(e.candidates, seed); r != nil {
--- a/internal/connection/peer/news.go
+++ b/internal/connection/peer/news.go
@@ -34,6 +34,9 @@
 	MaxLoads = 80
 	// MaxDead bounds Dead.
 	MaxDead = 16
+	// MaxZones bounds Zones. One takes about 30 bytes; what is more than fits beside
+	// the loads of a large zone isn't told, and nothing spills there.
+	MaxZones = 24
 )
 
 // Check implements the check of a wire type.
@@ -56,6 +59,16 @@
 	Flows    uint32
 }
 
+// ZoneLoad is how many flows the usable upstreams of a service hold in a zone, and
+// how many requests they work on at once.
+type ZoneLoad struct {
+	_       struct{} `cbor:",toarray"`
+	Zone    bundle.Zone
+	Service string
+	Flows   uint32
+	Slots   uint32
+}
+
 // Report is what a member tells the daemon that reads the store for its zone, and,
 // summed up over all members, what that one tells the members.
 type Report struct {
@@ -66,11 +79,14 @@
 	Loads []Load
 	// Dead are upstreams that the sender found dead.
 	Dead []bundle.UpstreamID
+	// Zones are the loads of whole zones: of the sender's own if it reads the store
+	// for its zone and tells that of another, of all if it tells its members.
+	Zones []ZoneLoad
 }
 
 // Check implements the check of a wire type.
 func (r *Report) Check() error {
-	if r.From == 0 || len(r.Loads) > MaxLoads || len(r.Dead) > MaxDead {
+	if r.From == 0 || len(r.Loads) > MaxLoads || len(r.Dead) > MaxDead || len(r.Zones) > MaxZones {
 		return ErrMessage
 	}
 	return nil
--- a/internal/connection/peer/reader.go
+++ b/internal/connection/peer/reader.go
@@ -2,8 +2,11 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
+
+	"github.com/fescueshed/fescueshed/internal/version/bundle"
 )
 
 // ReaderRank returns the place of this daemon among those of its zone that may
@@ -39,6 +42,25 @@
 	return out
 }
 
+// OtherReaders returns the first reader of each other zone.
+func (v *View) OtherReaders() []*Member {
+	self := v.byID[v.Self]
+	if self == nil {
+		return nil
+	}
+	first := make(map[bundle.Zone]*Member)
+	for i := range v.Members {
+		m := &v.Members[i]
+		if m.Zone == self.Zone {
+			continue
+		}
+		if best := first[m.Zone]; best == nil || compareReaders(m, best) < 0 {
+			first[m.Zone] = m
+		}
+	}
+	return slices.SortedFunc(maps.Values(first), compareReaders)
+}
+
 func compareReaders(a, b *Member) int {
 	return cmp.Or(
 		cmp.Compare(stays(b), stays(a)),
--- a/internal/connection/upstream/zoned.go
+++ b/internal/connection/upstream/zoned.go
@@ -7,10 +7,10 @@
 	"github.com/fescueshed/fescueshed/internal/version/bundle"
 )
 
-// Zoned places new flows in the daemon's own zone as long as one of its upstreams
-// there has room: what crosses zones is what a cut between them breaks, and its
-// bytes are paid for. Among those with room it takes the least loaded of a few that
-// it draws. It isn't safe for concurrent use.
+// Zoned places new flows in the daemon's own zone as long as its upstreams there have
+// room, and in another zone while they are crowded and that one isn't: what crosses
+// zones is what a cut between them breaks, and its bytes are paid for. It takes the
+// least loaded of a few candidates that it draws. It isn't safe for concurrent use.
 type Zoned struct {
 	zone    bundle.Zone
 	choices int
@@ -32,40 +32,64 @@
 // start, so that a newcomer isn't given all new flows in its slow seconds.
 const coldFlows = 2
 
+// When new flows cross zones. At a utilization of 0.8, requests of the users'
+// upstreams with two or three slots wait about as long as they are worked on; the
+// margin keeps two busy zones from sending their flows to each other.
+const (
+	crowded     = 0.8
+	spillMargin = 0.25
+)
+
 // Choose implements Policy.
 func (z *Zoned) Choose(candidates []Candidate, seed uint64) *bundle.UpstreamRoute {
-	for _, own := range [...]bool{true, false} {
-		z.drawn = z.drawn[:0]
-		for i := range candidates {
-			if (candidates[i].Route.Zone == z.zone) == own && candidates[i].hasRoom() {
-				z.drawn = append(z.drawn, i)
-			}
-		}
-		if len(z.drawn) > 0 {
-			return z.least(candidates, seed)
-		}
+	own := z.least(candidates, seed, true)
+	if own != nil && own.utilization() <= crowded {
+		return own.Route
+	}
+	other := z.least(candidates, seed, false)
+	switch {
+	case other == nil && own == nil:
+		return nil
+	case own == nil:
+		return other.Route
+	case other == nil || other.ZoneFlows < 0:
+		return own.Route
+	case other.utilization()+spillMargin < own.utilization():
+		return other.Route
 	}
-	return nil
+	return own.Route
 }
 
-// least draws candidates by a partial shuffle and returns the least loaded.
-func (z *Zoned) least(candidates []Candidate, seed uint64) *bundle.UpstreamRoute {
+// least draws candidates of the own zone or of others by a partial shuffle and
+// returns the least loaded, or nil if none has room.
+func (z *Zoned) least(candidates []Candidate, seed uint64, own bool) *Candidate {
+	z.drawn = z.drawn[:0]
+	for i := range candidates {
+		if (candidates[i].Route.Zone == z.zone) == own && candidates[i].hasRoom() {
+			z.drawn = append(z.drawn, i)
+		}
+	}
 	var src rand.PCG
 	src.Seed(seed, seed)
 	rng := rand.New(&src)
-	var best *bundle.UpstreamRoute
+	var best *Candidate
 	least := math.Inf(1)
 	for i := range min(z.choices, len(z.drawn)) {
 		j := i + rng.IntN(len(z.drawn)-i)
 		z.drawn[i], z.drawn[j] = z.drawn[j], z.drawn[i]
 		c := &candidates[z.drawn[i]]
 		if cost := c.cost(); cost < least {
-			best, least = c.Route, cost
+			best, least = c, cost
 		}
 	}
 	return best
 }
 
+// utilization estimates the share of the candidate's slots that are in use.
+func (c *Candidate) utilization() float64 {
+	return max(c.cost(), c.ZoneFlows) * c.Busy
+}
+
 // hasRoom reports whether the candidate may take one flow more.
 func (c *Candidate) hasRoom() bool {
 	return !c.Route.Drain && c.Load.Total() < int64(c.Route.Connections)
--- a/internal/process/carrier/carrier.go
+++ b/internal/process/carrier/carrier.go
@@ -154,8 +154,9 @@
 func (c *Carrier) sweep(now time.Time) {
 	c.mu.Lock()
 	c.engine.Expire(now)
+	c.engine.Sample()
 	c.mu.Unlock()
-	c.members.tellLoads()
+	c.members.tellLoads(now)
 	c.members.tellNews(now)
 }
 
--- a/internal/process/carrier/loads.go
+++ b/internal/process/carrier/loads.go
@@ -17,6 +17,13 @@
 type zoneLoads struct {
 	mu   sync.Mutex
 	told map[peer.ID]toldLoads
+	// others are the loads of other zones, by the daemon that told them.
+	others map[peer.ID]toldZone
+}
+
+type toldZone struct {
+	at    time.Time
+	zones []peer.ZoneLoad
 }
 
 type toldLoads struct {
@@ -29,7 +36,7 @@
 const reportFor = 4 * sweepPeriod
 
 func newZoneLoads() *zoneLoads {
-	return &zoneLoads{told: make(map[peer.ID]toldLoads)}
+	return &zoneLoads{told: make(map[peer.ID]toldLoads), others: make(map[peer.ID]toldZone)}
 }
 
 func (z *zoneLoads) put(r *peer.Report, now time.Time) {
@@ -38,6 +45,27 @@
 	z.told[r.From] = toldLoads{at: now, loads: r.Loads, dead: r.Dead}
 }
 
+func (z *zoneLoads) putZone(r *peer.Report, now time.Time) {
+	z.mu.Lock()
+	defer z.mu.Unlock()
+	z.others[r.From] = toldZone{at: now, zones: r.Zones}
+}
+
+// zones returns the loads of other zones of the last while.
+func (z *zoneLoads) zones(now time.Time) []peer.ZoneLoad {
+	z.mu.Lock()
+	defer z.mu.Unlock()
+	var out []peer.ZoneLoad
+	for id, t := range z.others {
+		if now.Sub(t.at) > reportFor {
+			delete(z.others, id)
+			continue
+		}
+		out = append(out, t.zones...)
+	}
+	return out[:min(len(out), peer.MaxZones)]
+}
+
 // sum returns the reports of the last while added up, the busiest upstreams first.
 func (z *zoneLoads) sum(now time.Time) ([]peer.Load, []bundle.UpstreamID) {
 	z.mu.Lock()
@@ -97,33 +125,42 @@
 }
 
 // tellLoads sends this daemon's report to the first reader of the zone, or the sum
-// to all if that is this daemon.
-func (m *members) tellLoads() {
+// to all if that is this daemon, and the zone's load to the readers of others.
+func (m *members) tellLoads(now time.Time) {
 	v := m.view.Load()
 	zone := v.ZoneMembers()
-	if len(zone) == 0 {
-		return
-	}
 	loads, dead := m.c.ownLoads()
 	r := &peer.Report{From: v.Self, Loads: loads, Dead: dead}
 	if v.ReaderRank() > 0 {
 		send(m, protocolReport, m.reports, r, zone[:1])
 		return
 	}
-	now := time.Now()
 	m.loads.put(r, now)
-	r.Sum = true
-	r.Loads, r.Dead = m.loads.sum(now)
-	send(m, protocolReport, m.reports, r, zone)
-	m.c.takeLoads(r, now)
+	sum := &peer.Report{From: v.Self, Sum: true}
+	sum.Loads, sum.Dead = m.loads.sum(now)
+	sum.Zones = m.loads.zones(now)
+	m.c.takeLoads(sum, now)
+	send(m, protocolReport, m.reports, sum, zone)
+	own := &peer.Report{From: v.Self, Zones: m.c.ownZone()}
+	send(m, protocolReport, m.reports, own, v.OtherReaders())
+}
+
+func (c *Carrier) ownZone() []peer.ZoneLoad {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	list := c.engine.OwnZone()
+	return list[:min(len(list), peer.MaxZones)]
 }
 
 func (m *members) heardReport(r *peer.Report, now time.Time) {
-	if r.Sum {
+	switch {
+	case r.Sum:
 		m.c.takeLoads(r, now)
-		return
+	case len(r.Zones) > 0:
+		m.loads.putZone(r, now)
+	default:
+		m.loads.put(r, now)
 	}
-	m.loads.put(r, now)
 }
 
 // takeLoads takes in the zone's sum: what is more than this daemon's own flows is
@@ -138,6 +175,7 @@
 		ids = append(ids, l.Upstream)
 		flows = append(flows, uint32(max(0, others)))
 	}
+	c.engine.SetZones(r.Zones, now)
 	c.engine.Board.Keep(nil)
 	c.engine.Board.Heard(zoneMember, ids, flows)
 	for _, id := range r.Dead {
