Utilization of the whole zone instead of one balancer's sample

Change: reports carry flows and requests of each service; the zone's sum is sampled, and the zone's average decides, not one drawn upstream.

--- a/internal/connection/cookie/load.go
+++ b/internal/connection/cookie/load.go
@@ -7,8 +7,8 @@
 	"github.com/fescueshed/fescueshed/internal/version/bundle"
 )
 
-// busyness is how many requests are in progress for each flow of a service, as this
-// balancer sees it, smoothed.
+// busyness is how many requests are in progress for each flow of a service, as the
+// balancers of the zone see it, smoothed.
 type busyness struct {
 	perFlow float64
 }
@@ -18,7 +18,7 @@
 	// about five seconds count.
 	busySmoothing = 0.1
 	// busyLeast is the number of flows below which a sample says too little.
-	busyLeast = 4
+	busyLeast = 20
 )
 
 // zoneService is a service in a zone.
@@ -37,20 +37,33 @@
 // zone that is cut off is silent, and nothing spills there.
 const zoneLoadFor = 2 * time.Second
 
-// Sample takes in how many requests are in progress. It is called each half second.
-func (e *Engine) Sample() {
+// Services returns what this balancer counts of each service.
+func (e *Engine) Services() []peer.ServiceLoad {
+	var out []peer.ServiceLoad
 	for name, list := range e.byService {
-		var flows, requests int64
+		s := peer.ServiceLoad{Service: name}
 		for _, u := range list {
-			flows += u.load.Flows.Load()
-			requests += u.load.Requests.Load()
+			s.Flows += uint32(max(0, u.load.Flows.Load()))
+			s.Requests += uint32(max(0, u.load.Requests.Load()))
 		}
-		if flows < busyLeast {
+		if s.Flows > 0 {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
+// Sample takes in what the whole zone counts of each service. It is called each half
+// second. One balancer's flows would say too little: with fifty of them, the requests
+// in progress vary by a half from sample to sample.
+func (e *Engine) Sample(list []peer.ServiceLoad) {
+	for _, s := range list {
+		if s.Flows < busyLeast {
 			continue
 		}
-		b := e.busy[name]
-		b.perFlow += busySmoothing * (float64(requests)/float64(flows) - b.perFlow)
-		e.busy[name] = b
+		b := e.busy[s.Service]
+		b.perFlow += busySmoothing * (float64(s.Requests)/float64(s.Flows) - b.perFlow)
+		e.busy[s.Service] = b
 	}
 }
 
--- a/internal/connection/peer/news.go
+++ b/internal/connection/peer/news.go
@@ -37,6 +37,8 @@
 	// MaxZones bounds Zones. One takes about 30 bytes; what is more than fits beside
 	// the loads of a large zone isn't told, and nothing spills there.
 	MaxZones = 24
+	// MaxServices bounds Services.
+	MaxServices = 16
 )
 
 // Check implements the check of a wire type.
@@ -69,6 +71,15 @@
 	Slots   uint32
 }
 
+// ServiceLoad is how many flows of a service somebody counts, and how many requests
+// are in progress on them.
+type ServiceLoad struct {
+	_        struct{} `cbor:",toarray"`
+	Service  string
+	Flows    uint32
+	Requests uint32
+}
+
 // Report is what a member tells the daemon that reads the store for its zone, and,
 // summed up over all members, what that one tells the members.
 type Report struct {
@@ -79,6 +90,8 @@
 	Loads []Load
 	// Dead are upstreams that the sender found dead.
 	Dead []bundle.UpstreamID
+	// Services are counted like Loads.
+	Services []ServiceLoad
 	// Zones are the loads of whole zones: of the sender's own if it reads the store
 	// for its zone and tells that of another, of all if it tells its members.
 	Zones []ZoneLoad
@@ -86,7 +99,7 @@
 
 // Check implements the check of a wire type.
 func (r *Report) Check() error {
-	if r.From == 0 || len(r.Loads) > MaxLoads || len(r.Dead) > MaxDead || len(r.Zones) > MaxZones {
+	if r.From == 0 || len(r.Loads) > MaxLoads || len(r.Dead) > MaxDead || len(r.Zones) > MaxZones || len(r.Services) > MaxServices {
 		return ErrMessage
 	}
 	return nil
--- a/internal/connection/upstream/policy.go
+++ b/internal/connection/upstream/policy.go
@@ -16,8 +16,8 @@
 	// if that isn't known. Flows for each slot times Busy is the utilization.
 	Busy float64
 	// ZoneFlows is how many flows the candidate's zone holds for each slot, as its
-	// own members count them. It is known for other zones than the daemon's only,
-	// and negative if it isn't known.
+	// own members count them, negative if that isn't known. It isn't used for the
+	// daemon's own zone, whose flows are those of its candidates.
 	ZoneFlows float64
 }
 
--- /dev/null
+++ b/internal/connection/upstream/suite_test.go
@@ -0,0 +1,15 @@
+package upstream_test
+
+import (
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func TestUpstream(t *testing.T) {
+	RegisterFailHandler(Fail)
+	cfg, reporter := GinkgoConfiguration()
+	cfg.RandomSeed = 1
+	RunSpecs(t, "upstream", cfg, reporter)
+}
--- a/internal/connection/upstream/zoned.go
+++ b/internal/connection/upstream/zoned.go
@@ -43,7 +43,8 @@
 // Choose implements Policy.
 func (z *Zoned) Choose(candidates []Candidate, seed uint64) *bundle.UpstreamRoute {
 	own := z.least(candidates, seed, true)
-	if own != nil && own.utilization() <= crowded {
+	crowding := z.utilization(candidates)
+	if own != nil && crowding <= crowded {
 		return own.Route
 	}
 	other := z.least(candidates, seed, false)
@@ -54,12 +55,27 @@
 		return other.Route
 	case other == nil || other.ZoneFlows < 0:
 		return own.Route
-	case other.utilization()+spillMargin < own.utilization():
+	case other.ZoneFlows*other.Busy+spillMargin < crowding:
 		return other.Route
 	}
 	return own.Route
 }
 
+// utilization estimates the share of the own zone's slots that are in use. It is
+// taken over the whole zone: one upstream's flows say too little.
+func (z *Zoned) utilization(candidates []Candidate) float64 {
+	var busy float64
+	slots := 0
+	for i := range candidates {
+		c := &candidates[i]
+		if c.Route.Zone == z.zone && c.hasRoom() {
+			busy += float64(c.Load.Total()) * c.Busy
+			slots += c.Route.Slots
+		}
+	}
+	return busy / float64(max(1, slots))
+}
+
 // least draws candidates of the own zone or of others by a partial shuffle and
 // returns the least loaded, or nil if none has room.
 func (z *Zoned) least(candidates []Candidate, seed uint64, own bool) *Candidate {
@@ -85,11 +101,6 @@
 	return best
 }
 
-// utilization estimates the share of the candidate's slots that are in use.
-func (c *Candidate) utilization() float64 {
-	return max(c.cost(), c.ZoneFlows) * c.Busy
-}
-
 // hasRoom reports whether the candidate may take one flow more.
 func (c *Candidate) hasRoom() bool {
 	return !c.Route.Drain && c.Load.Total() < int64(c.Route.Connections)
--- a/internal/process/carrier/carrier.go
+++ b/internal/process/carrier/carrier.go
@@ -154,7 +154,6 @@
 func (c *Carrier) sweep(now time.Time) {
 	c.mu.Lock()
 	c.engine.Expire(now)
-	c.engine.Sample()
 	c.mu.Unlock()
 	c.members.tellLoads(now)
 	c.members.tellNews(now)
--- a/internal/process/carrier/loads.go
+++ b/internal/process/carrier/loads.go
@@ -27,9 +27,8 @@
 }
 
 type toldLoads struct {
-	at    time.Time
-	loads []peer.Load
-	dead  []bundle.UpstreamID
+	at     time.Time
+	report *peer.Report
 }
 
 // reportFor is how long a report counts: four of its periods.
@@ -42,7 +41,7 @@
 func (z *zoneLoads) put(r *peer.Report, now time.Time) {
 	z.mu.Lock()
 	defer z.mu.Unlock()
-	z.told[r.From] = toldLoads{at: now, loads: r.Loads, dead: r.Dead}
+	z.told[r.From] = toldLoads{at: now, report: r}
 }
 
 func (z *zoneLoads) putZone(r *peer.Report, now time.Time) {
@@ -67,26 +66,39 @@
 }
 
 // sum returns the reports of the last while added up, the busiest upstreams first.
-func (z *zoneLoads) sum(now time.Time) ([]peer.Load, []bundle.UpstreamID) {
+func (z *zoneLoads) sum(self peer.ID, now time.Time) *peer.Report {
 	z.mu.Lock()
 	defer z.mu.Unlock()
+	out := &peer.Report{From: self, Sum: true}
 	flows := make(map[bundle.UpstreamID]uint32)
-	var dead []bundle.UpstreamID
+	services := make(map[string]peer.ServiceLoad)
 	for id, t := range z.told {
 		if now.Sub(t.at) > reportFor {
 			delete(z.told, id)
 			continue
 		}
-		for _, l := range t.loads {
+		for _, l := range t.report.Loads {
 			flows[l.Upstream] += l.Flows
 		}
-		for _, d := range t.dead {
-			if !slices.Contains(dead, d) {
-				dead = append(dead, d)
+		for _, s := range t.report.Services {
+			have := services[s.Service]
+			services[s.Service] = peer.ServiceLoad{
+				Service: s.Service, Flows: have.Flows + s.Flows, Requests: have.Requests + s.Requests,
+			}
+		}
+		for _, d := range t.report.Dead {
+			if !slices.Contains(out.Dead, d) && len(out.Dead) < peer.MaxDead {
+				out.Dead = append(out.Dead, d)
 			}
 		}
 	}
-	return topLoads(flows), dead[:min(len(dead), peer.MaxDead)]
+	out.Loads = topLoads(flows)
+	for _, s := range services {
+		if len(out.Services) < peer.MaxServices {
+			out.Services = append(out.Services, s)
+		}
+	}
+	return out
 }
 
 // topLoads returns the largest counts, as many as fit a report.
@@ -110,8 +122,8 @@
 // zoneMember is the member under which Board keeps what the rest of the zone counts.
 const zoneMember upstream.MemberID = 1
 
-// ownLoads returns what this daemon counts.
-func (c *Carrier) ownLoads() ([]peer.Load, []bundle.UpstreamID) {
+// ownReport returns what this daemon counts.
+func (c *Carrier) ownReport(self peer.ID) *peer.Report {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	flows := make(map[bundle.UpstreamID]uint32)
@@ -120,8 +132,13 @@
 			flows[r.ID] = uint32(n)
 		}
 	}
-	dead := c.engine.Dead()
-	return topLoads(flows), dead[:min(len(dead), peer.MaxDead)]
+	dead, services := c.engine.Dead(), c.engine.Services()
+	return &peer.Report{
+		From:     self,
+		Loads:    topLoads(flows),
+		Dead:     dead[:min(len(dead), peer.MaxDead)],
+		Services: services[:min(len(services), peer.MaxServices)],
+	}
 }
 
 // tellLoads sends this daemon's report to the first reader of the zone, or the sum
@@ -129,15 +146,13 @@
 func (m *members) tellLoads(now time.Time) {
 	v := m.view.Load()
 	zone := v.ZoneMembers()
-	loads, dead := m.c.ownLoads()
-	r := &peer.Report{From: v.Self, Loads: loads, Dead: dead}
+	r := m.c.ownReport(v.Self)
 	if v.ReaderRank() > 0 {
 		send(m, protocolReport, m.reports, r, zone[:1])
 		return
 	}
 	m.loads.put(r, now)
-	sum := &peer.Report{From: v.Self, Sum: true}
-	sum.Loads, sum.Dead = m.loads.sum(now)
+	sum := m.loads.sum(v.Self, now)
 	sum.Zones = m.loads.zones(now)
 	m.c.takeLoads(sum, now)
 	send(m, protocolReport, m.reports, sum, zone)
@@ -176,6 +191,7 @@
 		flows = append(flows, uint32(max(0, others)))
 	}
 	c.engine.SetZones(r.Zones, now)
+	c.engine.Sample(r.Services)
 	c.engine.Board.Keep(nil)
 	c.engine.Board.Heard(zoneMember, ids, flows)
 	for _, id := range r.Dead {
