Tell the zone at once of a dead upstream; newcomers learn of gone ones; logs

Cause, from an incident's logs: others found an upstream dead half a second after the first did, by the next report; a balancer that restarted after an upstream went left the packets of its flows unanswered for three seconds (UnknownCookie), since it had no memory of it. Change: what is found dead is told at once and looked at by each; a catalog carries the upstreams that went, which a newcomer probes when a packet names one. Each reset has its log line with what it rested on; histograms of answers, probes, store calls.

--- a/internal/connection/cookie/dead_test.go
+++ b/internal/connection/cookie/dead_test.go
@@ -57,7 +57,9 @@
 				Expect(id(e.Decide(c.request(1), now))).To(Equal(u.Route.ID), "a wrong reset breaks a live flow")
 				return
 			}
-			Expect(resets).To(Equal([]cookie.Reset{{Key: c.key, Seq: c.ack}}))
+			Expect(resets).To(Equal([]cookie.Reset{
+				{Key: c.key, Seq: c.ack, Cause: cookie.CauseDead, Upstream: u.Route},
+			}))
 			v := e.Decide(c.request(1), now)
 			Expect(v.Action).To(Equal(cookie.ActionReset), "of later packets too")
 			Expect(v.Cause).To(Equal(cookie.CauseDead))
@@ -150,6 +152,25 @@
 		Expect(v.Cause).To(Equal(cookie.CauseGone))
 	})
 
+	// A balancer restarts after an upstream crashed. It doesn't know the cookie of the
+	// crashed one's flows, and their callers wait for three seconds without a word.
+	It("has its flows reset at once by a balancer that started later and was told", func() {
+		e := newEngine(registrations(1))
+		c := newCaller(1, feedAt)
+		u := c.open(e, start)
+		e.SetUpstreams(nil, start)
+		e.DueProbes(start)
+		e.Probed(u.Route.ID, cookie.ProbeRefused, start, start)
+		Expect(e.Gone()).To(HaveLen(1))
+		later := newEngine(nil)
+		Expect(later.Decide(c.request(1), start).Action).To(Equal(cookie.ActionDrop))
+		later.LearnGone(e.Gone(), start)
+		later.Decide(c.request(1), start)
+		Expect(later.DueProbes(start)).To(HaveLen(1), "it looks for itself")
+		Expect(later.Probed(u.Route.ID, cookie.ProbeOther, start, start)).To(HaveLen(1))
+		Expect(later.Decide(c.request(1), start).Cause).To(Equal(cookie.CauseGone))
+	})
+
 	It("is forgotten after the lifetime of flows", func() {
 		e := newEngine(registrations(1))
 		c := newCaller(1, feedAt)
--- a/internal/connection/cookie/engine.go
+++ b/internal/connection/cookie/engine.go
@@ -19,6 +19,9 @@
 	// FlowLifetime is how long the memory of an upstream that went is kept, so that
 	// the callers of its flows are told at once.
 	FlowLifetime time.Duration
+	// Answered is called with the time from a request's first packet to the first
+	// acknowledgement of its answer. It may be nil.
+	Answered func(took time.Duration)
 }
 
 // Engine decides for each packet. It isn't safe for concurrent use.
@@ -54,6 +57,9 @@
 
 // NewEngine returns an engine without routes and upstreams.
 func NewEngine(o Options) *Engine {
+	if o.Answered == nil {
+		o.Answered = func(time.Duration) {}
+	}
 	return &Engine{
 		opts:      o,
 		upstreams: make(map[bundle.UpstreamID]*Upstream),
@@ -67,6 +73,14 @@
 	}
 }
 
+// Version returns the version of the table in force, or zero.
+func (e *Engine) Version() bundle.Version {
+	if e.routing == nil {
+		return 0
+	}
+	return e.routing.Version
+}
+
 // Ready reports whether flows can be placed: there are routes, and the list of
 // upstreams has been read.
 func (e *Engine) Ready() bool { return e.routing != nil && !e.confirmed.IsZero() }
@@ -120,6 +134,9 @@
 	if !u.listed || u.revision != r.Revision {
 		u.coldUntil = now.Add(r.Warmup)
 	}
+	if !u.listed && u.health != HealthGood {
+		u.nextProbe = now // It is back on the list: look at once whether it lives.
+	}
 	u.listed, u.revision = true, r.Revision
 	u.Route = e.upstreamRoute(r)
 }
@@ -183,14 +200,14 @@
 	if p.Flags.Has(FlagRST) {
 		return Verdict{Cause: c}
 	}
-	return Verdict{Action: ActionReset, Cause: c, Reset: Reset{Key: p.Key, Seq: p.Ack}}
+	return Verdict{Action: ActionReset, Cause: c, Reset: Reset{Key: p.Key, Seq: p.Ack, Cause: c}}
 }
 
 // end forgets a flow and returns the reset that tells its caller.
 func (e *Engine) end(k Key, f *flow, c Cause) Reset {
 	e.forget(k, f)
 	e.Counters.Reset[c]++
-	return Reset{Key: k, Seq: f.ack}
+	return Reset{Key: k, Seq: f.ack, Cause: c, Upstream: f.up.Route}
 }
 
 func (e *Engine) forget(k Key, f *flow) {
--- a/internal/connection/cookie/engine_test.go
+++ b/internal/connection/cookie/engine_test.go
@@ -40,7 +40,11 @@
 		Expect(e.SetRouting(routing(2))).To(BeEmpty())
 		resets := e.SetRouting(routing(3, feedAt))
 		Expect(resets).To(HaveLen(2))
-		Expect(resets).To(ContainElement(cookie.Reset{Key: c.key, Seq: c.ack}), "within what the caller accepts")
+		Expect(resets).To(ContainElement(And(
+			HaveField("Key", c.key),
+			HaveField("Seq", c.ack), // Within what the caller accepts.
+			HaveField("Cause", cookie.CauseNoRoute),
+		)))
 	})
 
 	// A secretary waits for her whole deadline although everybody knows that no
--- a/internal/connection/cookie/flow.go
+++ b/internal/connection/cookie/flow.go
@@ -15,6 +15,8 @@
 	closing       bool
 	copies        uint32
 	placed, last  time.Time
+	// askedAt is when the request in progress came.
+	askedAt time.Time
 	// ack is the highest acknowledgement seen, next the number after the highest
 	// byte sent.
 	ack, next uint32
@@ -61,9 +63,9 @@
 }
 
 // asked counts a request in progress.
-func (f *flow) asked() {
+func (f *flow) asked(now time.Time) {
 	if !f.busy {
-		f.busy = true
+		f.busy, f.askedAt = true, now
 		f.up.load.Requests.Add(1)
 	}
 }
@@ -93,6 +95,9 @@
 	if after(p.Ack, f.ack) {
 		f.ack = p.Ack
 		e.alive(f.up, now)
+		if f.busy {
+			e.opts.Answered(now.Sub(f.askedAt))
+		}
 		f.answered()
 	}
 	end := p.Seq + p.span()
@@ -100,7 +105,7 @@
 	case p.span() == 0:
 	case after(end, f.next):
 		f.next = end
-		f.asked()
+		f.asked(now)
 	default:
 		e.unanswered(f.up, now)
 	}
--- a/internal/connection/cookie/packet.go
+++ b/internal/connection/cookie/packet.go
@@ -118,5 +118,8 @@
 type Reset struct {
 	Key Key
 	// Seq is what the caller expects next, so that it knows the reset for its own.
-	Seq uint32
+	Seq   uint32
+	Cause Cause
+	// Upstream is where the flow was, if that is known. It isn't sent.
+	Upstream *bundle.UpstreamRoute
 }
--- a/internal/connection/cookie/pass.go
+++ b/internal/connection/cookie/pass.go
@@ -87,7 +87,9 @@
 
 func (e *Engine) refuseFlow(p *Packet, f *flow, c Cause) Verdict {
 	e.forget(p.Key, f)
-	return refuse(p, c)
+	v := refuse(p, c)
+	v.Reset.Upstream = f.up.Route
+	return v
 }
 
 func deadCause(u *Upstream) Cause {
--- a/internal/connection/cookie/watch.go
+++ b/internal/connection/cookie/watch.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"time"
 
+	"github.com/fescueshed/fescueshed/internal/connection/peer"
 	"github.com/fescueshed/fescueshed/internal/version/bundle"
 	"github.com/fescueshed/fescueshed/internal/version/registry"
 )
@@ -142,6 +143,36 @@
 	return out
 }
 
+// Gone returns the upstreams that left the list and were found dead.
+func (e *Engine) Gone() []peer.GoneUpstream {
+	var out []peer.GoneUpstream
+	for id, u := range e.upstreams {
+		if !u.listed && u.health == HealthDead {
+			out = append(out, peer.GoneUpstream{ID: id, Address: u.Route.Address})
+		}
+	}
+	return out
+}
+
+// LearnGone takes in upstreams that another balancer found dead after they left the
+// list. As with a Hint, this one looks for itself as soon as a packet names one.
+func (e *Engine) LearnGone(list []peer.GoneUpstream, now time.Time) {
+	added := false
+	for _, g := range list {
+		if e.upstreams[g.ID] != nil || !g.Address.IsValid() {
+			continue
+		}
+		added = true
+		e.upstreams[g.ID] = &Upstream{
+			Cookie: Of(g.ID), load: e.Board.Load(g.ID), goneAt: now, health: HealthSuspect,
+			Route: &bundle.UpstreamRoute{ID: g.ID, Address: g.Address, Service: &bundle.ServiceRoute{}},
+		}
+	}
+	if added {
+		e.index()
+	}
+}
+
 // Paused tells that the process stood still for a while. What callers repeated
 // meanwhile says nothing of upstreams, so all get time to be heard of again.
 func (e *Engine) Paused(now time.Time) {
--- a/internal/connection/peer/news.go
+++ b/internal/connection/peer/news.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"net/netip"
 	"time"
 
 	"github.com/fescueshed/fescueshed/internal/version/bundle"
@@ -90,6 +91,8 @@
 	Loads []Load
 	// Dead are upstreams that the sender found dead.
 	Dead []bundle.UpstreamID
+	// Found says that Dead were found just now and that the rest isn't filled in.
+	Found bool
 	// Services are counted like Loads.
 	Services []ServiceLoad
 	// Zones are the loads of whole zones: of the sender's own if it reads the store
@@ -120,6 +123,16 @@
 	Registrations []registry.Registration
 	// Members are the daemons that the sender knows.
 	Members []Member
+	// Gone are upstreams that left the list and were found dead. A daemon that
+	// started after they went can look for itself and tell the callers of their flows.
+	Gone []GoneUpstream
+}
+
+// GoneUpstream is an upstream that left the list.
+type GoneUpstream struct {
+	_       struct{} `cbor:",toarray"`
+	ID      bundle.UpstreamID
+	Address netip.AddrPort
 }
 
 // Check implements the check of a wire type.
--- a/internal/process/carrier/carrier.go
+++ b/internal/process/carrier/carrier.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"k8s.io/klog/v2"
 
 	"github.com/fescueshed/fescueshed/internal/connection/cookie"
@@ -59,8 +60,10 @@
 	members  *members
 	probes   *probes
 	logs     *decisionLog
-	started  time.Time
-	leaving  atomic.Bool
+	// answered and probed are the histograms of times in seconds.
+	answered, probed metrics.Histogram
+	started          time.Time
+	leaving          atomic.Bool
 
 	// mu guards what follows.
 	mu      sync.Mutex
@@ -81,12 +84,13 @@
 		logs:     newDecisionLog(cfg.LogsPerSecond),
 		started:  time.Now(),
 		catalog:  registry.NewCatalog(),
-		engine: cookie.NewEngine(cookie.Options{
-			Zone:         cfg.Zone,
-			Policy:       upstream.NewZoned(cfg.Zone, upstream.DefaultChoices),
-			FlowLifetime: time.Duration(cfg.FlowLifetime),
-		}),
 	}
+	c.engine = cookie.NewEngine(cookie.Options{
+		Zone:         cfg.Zone,
+		Policy:       upstream.NewZoned(cfg.Zone, upstream.DefaultChoices),
+		FlowLifetime: time.Duration(cfg.FlowLifetime),
+		Answered:     func(took time.Duration) { c.answered.Update(took.Seconds()) },
+	})
 	c.cfg.Store(cfg)
 	cleanup, err := steps.Run(ctx,
 		c.startData, c.startProbes, c.startMembers, c.startStore, c.startReadiness, c.startMetrics, c.startTimer)
--- a/internal/process/carrier/carrier_test.go
+++ b/internal/process/carrier/carrier_test.go
@@ -186,6 +186,7 @@
 		b, err := io.ReadAll(resp.Body)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(string(b)).To(ContainSubstring("fescueshed_bundle_version"))
+		Expect(string(b)).To(ContainSubstring("fescueshed_store_call_seconds_count"))
 		Expect(string(b)).To(ContainSubstring(`fescueshed_packets_reset_total{cause="NoRoute"}`))
 	})
 })
--- a/internal/process/carrier/data.go
+++ b/internal/process/carrier/data.go
@@ -152,6 +152,7 @@
 	}
 	d.c.mu.Lock()
 	v := d.c.engine.Decide(&p, now)
+	in := d.c.inputs(now)
 	var to netip.AddrPort
 	if v.Action == cookie.ActionForward {
 		to = v.Upstream.Route.Address
@@ -165,7 +166,7 @@
 		d.resetBuf = d.reset(d.resetBuf, &v.Reset)
 	case cookie.ActionDrop:
 	}
-	d.c.logs.decided(&p, &v, now)
+	d.c.logs.decided(&p, &v, in, now)
 }
 
 // reset sends a reset to its caller and returns the buffer for the next one.
@@ -178,9 +179,17 @@
 
 // resets sends resets that no packet brought about.
 func (d *data) resets(list []cookie.Reset) {
+	if len(list) == 0 {
+		return
+	}
+	now := time.Now()
+	d.c.mu.Lock()
+	in := d.c.inputs(now)
+	d.c.mu.Unlock()
 	var buf []byte
 	for i := range list {
 		buf = d.reset(buf, &list[i])
+		d.c.logs.reset(&list[i], in, now)
 	}
 }
 
@@ -192,6 +201,11 @@
 	d.sent.Add(1)
 }
 
+// inputs returns what decisions rest on now. c.mu is held.
+func (c *Carrier) inputs(now time.Time) inputs {
+	return inputs{bundle: c.engine.Version(), listAge: now.Sub(c.confirmedList)}
+}
+
 func (c *Carrier) drop(cause cookie.Cause) {
 	c.mu.Lock()
 	c.engine.Counters.Dropped[cause]++
--- a/internal/process/carrier/http.go
+++ b/internal/process/carrier/http.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/netip"
@@ -25,6 +26,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
 		set.WritePrometheus(w)
+		c.writeHistograms(w)
 		metrics.WriteProcessMetrics(w)
 	})
 	return serveHTTP(ctx, c.cfg.Load().MetricsAddress, mux)
@@ -75,6 +77,28 @@
 	return s
 }
 
+// histogram is what metrics.Histogram offers to a writer of its values.
+type histogram interface {
+	VisitNonZeroBuckets(f func(vmrange string, count uint64))
+}
+
+// writeHistograms writes the histograms, which live with what they measure, as the
+// library's own set would.
+func (c *Carrier) writeHistograms(w io.Writer) {
+	for name, h := range map[string]histogram{
+		"fescueshed_answer_seconds":     &c.answered,
+		"fescueshed_probe_seconds":      &c.probed,
+		"fescueshed_store_call_seconds": &c.platform.Store.Counts.Took,
+	} {
+		total := uint64(0)
+		h.VisitNonZeroBuckets(func(vmrange string, count uint64) {
+			total += count
+			fmt.Fprintf(w, "%s_bucket{vmrange=%q} %d\n", name, vmrange, count)
+		})
+		fmt.Fprintf(w, "%s_count %d\n", name, total)
+	}
+}
+
 func (c *Carrier) countCause(
 	count func(string, func() uint64), action string, cause cookie.Cause, of func(*cookie.Counters) uint64,
 ) {
--- a/internal/process/carrier/loads.go
+++ b/internal/process/carrier/loads.go
@@ -169,6 +169,8 @@
 
 func (m *members) heardReport(r *peer.Report, now time.Time) {
 	switch {
+	case r.Found:
+		m.c.hint(r.Dead, now)
 	case r.Sum:
 		m.c.takeLoads(r, now)
 	case len(r.Zones) > 0:
@@ -198,3 +200,22 @@
 		c.engine.Hint(id, now)
 	}
 }
+
+// tellFound tells the zone at once of an upstream that was found dead: the others
+// would find out by requests that fail.
+func (m *members) tellFound(id bundle.UpstreamID) {
+	v := m.view.Load()
+	r := &peer.Report{From: v.Self, Found: true, Dead: []bundle.UpstreamID{id}}
+	send(m, protocolReport, m.reports, r, v.ZoneMembers())
+}
+
+// hint has upstreams looked at that another daemon found dead.
+func (c *Carrier) hint(ids []bundle.UpstreamID, now time.Time) {
+	c.mu.Lock()
+	for _, id := range ids {
+		c.engine.Hint(id, now)
+	}
+	due := c.engine.DueProbes(now)
+	c.mu.Unlock()
+	c.probes.send(due)
+}
--- a/internal/process/carrier/log.go
+++ b/internal/process/carrier/log.go
@@ -9,6 +9,7 @@
 
 	"github.com/fescueshed/fescueshed/internal/connection/cookie"
 	"github.com/fescueshed/fescueshed/internal/process/logs"
+	"github.com/fescueshed/fescueshed/internal/version/bundle"
 )
 
 // decisionLog writes a line for each decision that begins or ends a flow, or loses
@@ -27,30 +28,65 @@
 	return l
 }
 
+// inputs are what a decision rested on.
+type inputs struct {
+	bundle bundle.Version
+	// listAge is how long ago the list of upstreams was last known to be complete.
+	listAge time.Duration
+}
+
 // decided writes the line of one packet's decision. Packets of established flows
 // that are forwarded decide nothing and write none.
-func (l *decisionLog) decided(p *cookie.Packet, v *cookie.Verdict, now time.Time) {
+func (l *decisionLog) decided(p *cookie.Packet, v *cookie.Verdict, in inputs, now time.Time) {
 	if v.Action == cookie.ActionForward && v.Cause == cookie.CauseNone {
 		return
 	}
-	l.mu.Lock()
-	left, ok := l.limiters[v.Cause].Allow(now)
-	l.mu.Unlock()
+	left, ok := l.allow(v.Cause, now)
 	if !ok {
-		l.leftOut.Add(1)
 		return
 	}
 	kv := []any{
 		"Cause", v.Cause, "Caller", p.Key.Caller(), "To", p.Key.Service(), "Copy", p.Copy, "Cookie", uint32(p.Cookie),
+		"Bundle", in.bundle, "ListAge", in.listAge.Round(time.Millisecond),
 	}
+	route := v.Reset.Upstream
 	if v.Upstream != nil {
-		r := v.Upstream.Route
+		route = v.Upstream.Route
+	}
+	klog.InfoS(actionLines[v.Action], appendRoute(kv, route, left)...)
+}
+
+// reset writes the line of a reset that no packet brought about.
+func (l *decisionLog) reset(r *cookie.Reset, in inputs, now time.Time) {
+	left, ok := l.allow(r.Cause, now)
+	if !ok {
+		return
+	}
+	kv := []any{
+		"Cause", r.Cause, "Caller", r.Key.Caller(), "To", r.Key.Service(),
+		"Bundle", in.bundle, "ListAge", in.listAge.Round(time.Millisecond),
+	}
+	klog.InfoS(actionLines[cookie.ActionReset], appendRoute(kv, r.Upstream, left)...)
+}
+
+func (l *decisionLog) allow(c cookie.Cause, now time.Time) (uint64, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	left, ok := l.limiters[c].Allow(now)
+	if !ok {
+		l.leftOut.Add(1)
+	}
+	return left, ok
+}
+
+func appendRoute(kv []any, r *bundle.UpstreamRoute, left uint64) []any {
+	if r != nil {
 		kv = append(kv, "Upstream", r.Address, "ID", r.ID, "Zone", r.Zone)
 	}
 	if left > 0 {
 		kv = append(kv, "LeftOut", left)
 	}
-	klog.InfoS(actionLines[v.Action], kv...)
+	return kv
 }
 
 var actionLines = [...]string{
--- a/internal/process/carrier/news.go
+++ b/internal/process/carrier/news.go
@@ -132,6 +132,7 @@
 func (c *Carrier) takeCatalog(got *peer.Catalog, as, now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.engine.LearnGone(got.Gone, now)
 	if !got.Listed || got.AsOf < c.catalog.AsOf {
 		return
 	}
@@ -170,6 +171,7 @@
 	now := time.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	out.Gone = c.engine.Gone()
 	out.AsOf = c.catalog.AsOf
 	out.Doubt = c.catalog.Doubt(now)
 	if c.confirmedList.IsZero() {
--- a/internal/process/carrier/probe.go
+++ b/internal/process/carrier/probe.go
@@ -48,6 +48,7 @@
 	p.sent.Add(1)
 	r := p.ask(pr)
 	now := time.Now()
+	p.c.probed.Update(now.Sub(sent).Seconds())
 	c := p.c
 	c.mu.Lock()
 	before := c.engine.Health(pr.Upstream.ID)
@@ -55,6 +56,9 @@
 	after := c.engine.Health(pr.Upstream.ID)
 	c.mu.Unlock()
 	c.data.resets(resets)
+	if after == cookie.HealthDead && before != after && pr.Listed {
+		c.members.tellFound(pr.Upstream.ID)
+	}
 	if before != after {
 		klog.InfoS("Upstream probed", "Upstream", pr.Upstream.Address, "ID", pr.Upstream.ID, "Listed", pr.Listed,
 			"Before", before, "After", after, "Result", r, "Took", now.Sub(sent), "FlowsReset", len(resets))
--- a/internal/version/objects/caller.go
+++ b/internal/version/objects/caller.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/rotisserie/eris"
 )
 
@@ -36,6 +37,8 @@
 	// Calls counts all calls, Refused the answers of 429 and 5xx, Silent the calls
 	// without any answer.
 	Calls, Refused, Silent atomic.Uint64
+	// Took holds the times of answered calls in seconds, the wait of watches included.
+	Took metrics.Histogram
 }
 
 // Caller calls a store over HTTP. It is safe for concurrent use.
@@ -90,7 +93,11 @@
 		r.Header = call.Header
 	}
 	c.Counts.Calls.Add(1)
+	began := time.Now()
 	a, err := c.send(r)
+	if err == nil {
+		c.Counts.Took.UpdateDuration(began)
+	}
 	switch {
 	case err != nil:
 		c.Counts.Silent.Add(1)
