carrier test: cut off one reader of each zone, not all daemons

Cause: the test cut every daemon that read the store, which right after the start was now and then all six: nobody could know of the bundle. Change: it waits until each zone has one reader; a test of a whole zone cut off is new.

--- a/internal/process/carrier/carrier_test.go
+++ b/internal/process/carrier/carrier_test.go
@@ -106,6 +106,9 @@
 	It("put a bundle in force though their zone's reader is cut off from the store", func() {
 		w := newWorld(6)
 		nodes := startAll(w)
+		// Right after the start every daemon still reads; if all of them were cut off,
+		// nobody could know of the bundle.
+		Eventually(func() int { return readers(nodes) }, patience).Should(Equal(zones))
 		for _, n := range nodes {
 			if n.Reads() {
 				n.host.Proxy.Set(world.LinkSilent)
@@ -114,6 +117,22 @@
 		Eventually(inForce(nodes, w.Roll()), patience).Should(BeTrue())
 	})
 
+	// All daemons of a zone lose the store at once, as when its switch fails towards
+	// the platform. They still hear the other zones.
+	It("put a bundle in force though a whole zone is cut off from the store", func() {
+		w := newWorld(6)
+		nodes := startAll(w)
+		cut := 0
+		for _, n := range nodes {
+			if n.host.Zone == w.Hosts[0].Zone {
+				n.host.Proxy.Set(world.LinkSilent)
+				cut++
+			}
+		}
+		Expect(cut).To(Equal(2))
+		Eventually(inForce(nodes, w.Roll()), patience).Should(BeTrue())
+	})
+
 	// The store stops telling changes and then drops its history. Whoever waits on
 	// would keep the old bundle for as long as the watch waits.
 	It("put a bundle in force though the store's watches heard nothing of it", func() {
