--- a/cmd/soak/run.go
+++ b/cmd/soak/run.go
@@ -8,7 +8,6 @@
 	"os"
 	"path/filepath"
 	"sort"
-	"strings"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -59,20 +58,27 @@
 	if err := r.start(ctx, binary, dir); err != nil {
 		return false, err
 	}
-	broken, served, err := r.play(ctx, c)
+	o, err := r.play(ctx, c)
 	if err != nil {
 		return false, err
 	}
-	fmt.Printf("seed %d: %s, %d broken promises\n", seed, served, len(broken))
-	if len(broken) == 0 {
+	fmt.Printf("seed %d: %d faults, %d of %d requests answered, %d broken promises\n  %s\n",
+		seed, len(r.plan), o.answered, o.requests, len(o.broken), o.plot)
+	if len(o.broken) == 0 {
 		_ = os.RemoveAll(dir) // Only the logs of failed runs are wanted.
 		return false, nil
 	}
-	for _, b := range broken {
+	for _, b := range o.broken {
 		fmt.Println("  broken:", b)
 	}
-	report := strings.Join(append(r.plan, broken...), "\n") + "\n"
-	return true, eris.Wrap(os.WriteFile(filepath.Join(dir, "report.txt"), []byte(report), 0o600), "soak")
+	return true, writeReport(dir, r, o)
+}
+
+// outcome is what callers and upstreams saw in a run.
+type outcome struct {
+	requests, answered int
+	broken             []string
+	plot               string
 }
 
 func (r *run) start(ctx context.Context, binary, dir string) error {
@@ -99,7 +105,7 @@
 }
 
 // play injects faults while callers work and judges what they and the upstreams saw.
-func (r *run) play(ctx context.Context, c *commands) ([]string, string, error) {
+func (r *run) play(ctx context.Context, c *commands) (*outcome, error) {
 	work, end := context.WithTimeout(ctx, c.Duration+healWait+checkFor)
 	defer end()
 	injected := make(chan struct{})
@@ -110,29 +116,35 @@
 	tallies, err := r.w.Work(work)
 	<-injected
 	if err != nil {
-		return nil, "", err
+		return nil, err
 	}
-	broken := r.w.Finish()
-	requests, answered := 0, 0
+	o := &outcome{broken: r.w.Finish(), plot: plot(tallies, r.began)}
 	var last []flows.Outcome
-	since := time.Now().Add(-checkFor)
 	for i := range tallies {
 		t := &tallies[i]
-		requests += t.Requests
-		answered += t.Answered
-		broken = append(broken, t.Broken...)
-		for _, o := range t.Outcomes {
-			// Requests of the very end may not have had their time.
-			if o.At.After(since) && (o.Answered || time.Since(o.At) > checkFor-time.Second) {
-				last = append(last, o)
-			}
-		}
+		o.requests += t.Requests
+		o.answered += t.Answered
+		o.broken = append(o.broken, t.Broken...)
+		last = append(last, healed(t)...)
 	}
 	if s := share(last); s < leastServed {
-		broken = append(broken, fmt.Sprintf("only %.3f of %d requests answered after all faults had ended", s, len(last)))
+		o.broken = append(o.broken, fmt.Sprintf("only %.3f of %d requests answered after all faults had ended", s, len(last)))
+	}
+	sort.Strings(o.broken)
+	return o, nil
+}
+
+// healed returns the outcomes of the time after all faults had ended. Requests of
+// the very end may not have had their time.
+func healed(t *flows.Tally) []flows.Outcome {
+	var out []flows.Outcome
+	since := time.Now().Add(-checkFor)
+	for _, o := range t.Outcomes {
+		if o.At.After(since) && (o.Answered || time.Since(o.At) > checkFor-time.Second) {
+			out = append(out, o)
+		}
 	}
-	sort.Strings(broken)
-	return broken, fmt.Sprintf("%d faults, %d of %d requests answered", len(r.plan), answered, requests), nil
+	return out
 }
 
 func share(list []flows.Outcome) float64 {
--- a/internal/version/bundle/units.go
+++ b/internal/version/bundle/units.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -24,6 +25,9 @@
 // UpstreamID identifies an upstream across daemons and versions. Zero is none.
 type UpstreamID uint64
 
+// String writes the identifier in hexadecimal digits, as upstreams register it.
+func (id UpstreamID) String() string { return strconv.FormatUint(uint64(id), 16) }
+
 // UpstreamIDOf derives the identifier of an upstream from its service and name.
 func UpstreamIDOf(service, name string) UpstreamID {
 	return UpstreamID(xxhash.Sum64String(service + "/" + name))
