cookie: two refusals before a draining upstream counts as dead

Cause: a draining upstream closes its health port some milliseconds before it ends its flows. A probe refused in between was believed at once, and a served flow reset. Change: one that drains is dead after a second refusal 300 ms later.

--- a/internal/connection/cookie/dead_test.go
+++ b/internal/connection/cookie/dead_test.go
@@ -7,6 +7,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/fescueshed/fescueshed/internal/connection/cookie"
+	"github.com/fescueshed/fescueshed/internal/version/registry"
 )
 
 const ms = time.Millisecond
@@ -119,6 +120,39 @@
 	})
 })
 
+var _ = Describe("An upstream that drains", func() {
+	// An upstream closes its health port some milliseconds before it ends its flows. A
+	// balancer whose probe was refused in between reset a feed that was still served,
+	// just before its last answer.
+	DescribeTable("isn't taken for dead by one refused connection", func(leaves bool) {
+		list := registrations(3)
+		e := newEngine(list)
+		c, u, now := doubted(e)
+		var others []registry.Registration
+		for i := range list {
+			list[i].Draining = list[i].ID == u.Route.ID
+			list[i].Revision += 10
+			if !list[i].Draining {
+				others = append(others, list[i])
+			}
+		}
+		e.SetUpstreams(list, now)
+		if leaves {
+			e.SetUpstreams(others, now)
+		}
+		Expect(e.DueProbes(now)).To(HaveLen(1))
+		Expect(e.Probed(u.Route.ID, cookie.ProbeRefused, now, now)).To(BeEmpty())
+		Expect(id(e.Decide(c.request(1), now))).To(Equal(u.Route.ID))
+		Expect(e.DueProbes(now.Add(200 * ms))).To(BeEmpty())
+		now = now.Add(300 * ms)
+		Expect(e.DueProbes(now)).To(HaveLen(1))
+		Expect(e.Probed(u.Route.ID, cookie.ProbeRefused, now, now)).To(HaveLen(1))
+	},
+		Entry("while the list has it", false),
+		Entry("after it left the list", true),
+	)
+})
+
 var _ = Describe("An upstream that the list no longer has", func() {
 	// An upstream loses its way to the store but not to the balancers. Its entry
 	// lapses, and all its feeds are reset though it serves them.
--- a/internal/connection/cookie/upstream.go
+++ b/internal/connection/cookie/upstream.go
@@ -41,6 +41,10 @@
 	reprobeAfter = time.Second
 	// unsurePause is the pause after a probe that found nothing out.
 	unsurePause = 250 * time.Millisecond
+	// drainPause is the time between the two refusals that show a draining upstream
+	// to be dead. It closes its health port, and may leave the list, some milliseconds
+	// before it ends its flows; a reset in between cuts off a flow that is still served.
+	drainPause = 300 * time.Millisecond
 	// maxTimeouts is how many probes in a row go unanswered before an upstream is
 	// dead: a single connection attempt may be lost on the way.
 	maxTimeouts = 2
@@ -70,6 +74,8 @@
 	probing        bool
 	nextProbe      time.Time
 	timeouts       int
+	// refused says that the last probe of a draining upstream was refused.
+	refused bool
 }
 
 // takes reports whether a new flow may go there.
@@ -96,7 +102,7 @@
 func (u *Upstream) doubt(now time.Time) {
 	u.health = HealthSuspect
 	u.nextProbe = now
-	u.timeouts = 0
+	u.timeouts, u.refused = 0, false
 }
 
 // probeDue reports whether a probe is to be sent now.
@@ -136,9 +142,12 @@
 	was := u.health
 	switch {
 	case r == ProbeAlive:
-		u.health, u.timeouts, u.checked = HealthGood, 0, now
+		u.health, u.timeouts, u.checked, u.refused = HealthGood, 0, now, false
 	case r == ProbeUnsure:
 		u.nextProbe = now.Add(unsurePause)
+	case r == ProbeRefused && u.Route.Drain && !u.refused:
+		u.refused = true
+		u.nextProbe = now.Add(drainPause)
 	case r == ProbeOther || r == ProbeRefused:
 		u.health = HealthDead
 	case u.heard.After(sent):
