--- a/internal/connection/cookie/dead_test.go
+++ b/internal/connection/cookie/dead_test.go
@@ -104,6 +104,20 @@
 		Expect(e.DueProbes(now)).To(BeEmpty())
 	})
 
+	// A host's own link is full. It hears no upstream, doubts every one whose flow
+	// repeats a packet, and has nowhere to place new flows.
+	It("isn't doubted while no upstream is heard", func() {
+		e := newEngine(registrations(3))
+		c := newCaller(1, feedAt)
+		c.open(e, start)
+		now := start.Add(400 * ms)
+		p := c.request(10)
+		e.Decide(p, now)
+		now = now.Add(200 * ms)
+		e.Decide(p, now)
+		Expect(e.DueProbes(now)).To(BeEmpty())
+	})
+
 	It("takes flows again once a probe is answered", func() {
 		e := newEngine(registrations(1))
 		c := newCaller(1, feedAt)
--- a/internal/connection/cookie/watch.go
+++ b/internal/connection/cookie/watch.go
@@ -176,7 +176,6 @@
 // Paused tells that the process stood still for a while. What callers repeated
 // meanwhile says nothing of upstreams, so all get time to be heard of again.
 func (e *Engine) Paused(now time.Time) {
-	e.heard = time.Time{}
 	for _, u := range e.upstreams {
 		u.heard = now
 	}
--- a/internal/connection/peer/news.go
+++ b/internal/connection/peer/news.go
@@ -72,6 +72,14 @@
 	Slots   uint32
 }
 
+// Lacks reports what a daemon lacks of what the news announce. Only news that lack
+// nothing count as heard: a member that can't fetch the rest from the sender must
+// read the store itself, however fresh the news are, or it would keep an old bundle
+// for as long as they come.
+func (n *News) Lacks(version bundle.Version, asOf objects.Revision, digest uint64) (bundle, list bool) {
+	return n.Bundle > version, n.AsOf >= asOf && n.Digest != digest
+}
+
 // ServiceLoad is how many flows of a service somebody counts, and how many requests
 // are in progress on them.
 type ServiceLoad struct {
--- a/internal/connection/peer/reader_test.go
+++ b/internal/connection/peer/reader_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/fescueshed/fescueshed/internal/connection/peer"
 	"github.com/fescueshed/fescueshed/internal/version/bundle"
+	"github.com/fescueshed/fescueshed/internal/version/objects"
 )
 
 var _ = Describe("Reading the store for a zone", func() {
@@ -62,6 +63,23 @@
 	})
 })
 
+var _ = Describe("News", func() {
+	// A member hears fresh news of a bundle that it can't fetch, takes them for its
+	// zone's word, and routes by the old bundle for good.
+	It("lack what they announce and the member doesn't hold", func() {
+		n := peer.News{Bundle: 7, AsOf: 100, Digest: 5}
+		lacks := func(v bundle.Version, asOf objects.Revision, digest uint64) [2]bool {
+			b, l := n.Lacks(v, asOf, digest)
+			return [2]bool{b, l}
+		}
+		Expect(lacks(7, 100, 5)).To(Equal([2]bool{false, false}))
+		Expect(lacks(6, 100, 5)).To(Equal([2]bool{true, false}))
+		Expect(lacks(8, 101, 6)).To(Equal([2]bool{false, false}), "the member is ahead")
+		Expect(lacks(7, 100, 6)).To(Equal([2]bool{false, true}))
+		Expect(lacks(7, 99, 6)).To(Equal([2]bool{false, true}))
+	})
+})
+
 var _ = Describe("A daemon that joins", func() {
 	It("knows at once whom another knows", func() {
 		known := newGroup("known")
--- a/internal/process/carrier/carrier_test.go
+++ b/internal/process/carrier/carrier_test.go
@@ -3,14 +3,18 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
+	"net/netip"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/fescueshed/fescueshed/internal/connection/cookie"
 	"github.com/fescueshed/fescueshed/internal/process/carrier"
 	"github.com/fescueshed/fescueshed/internal/process/settings"
+	"github.com/fescueshed/fescueshed/internal/standin/flows"
 	"github.com/fescueshed/fescueshed/internal/standin/world"
 	"github.com/fescueshed/fescueshed/internal/version/bundle"
 	"github.com/fescueshed/fescueshed/internal/version/objects"
@@ -130,9 +134,33 @@
 			}
 		}
 		Expect(cut).To(Equal(2))
+		// What daemons fetch once after their start must not help.
+		time.Sleep(carrier.JoinedAfter)
 		Eventually(inForce(nodes, w.Roll()), patience).Should(BeTrue())
 	})
 
+	// A host starts while the store is away. When it is ready, it forwards first
+	// packets that waited in its socket, though their callers have opened the flows
+	// through other hosts meanwhile: a second upstream answers, and the flows break.
+	It("drop first packets that waited for long", func() {
+		w := newWorld(3)
+		h := w.Hosts[0]
+		h.Proxy.Set(world.LinkReset)
+		n := startNode(w, h)
+		first := standin.Segments{}.Encode(&flows.Segment{
+			From: netip.MustParseAddrPort("127.1.9.9:1024"), To: netip.MustParseAddrPort("198.18.0.1:443"), Flags: cookie.FlagSYN,
+		})
+		conn, err := net.Dial("udp4", w.DataAddress(h).String())
+		Expect(err).NotTo(HaveOccurred())
+		defer func() { _ = conn.Close() }()
+		_, err = conn.Write(first)
+		Expect(err).NotTo(HaveOccurred())
+		time.Sleep(500 * time.Millisecond)
+		h.Proxy.Set(world.LinkGood)
+		Eventually(func() string { return metricsOf(n) }, patience).Should(
+			ContainSubstring(`fescueshed_packets_dropped_total{cause="StaleOpen"} 1`))
+	})
+
 	// The store stops telling changes and then drops its history. Whoever waits on
 	// would keep the old bundle for as long as the watch waits.
 	It("put a bundle in force though the store's watches heard nothing of it", func() {
@@ -199,17 +227,23 @@
 	It("serve metrics", func() {
 		w := newWorld(3)
 		n := startAll(w)[0]
-		resp, err := http.Get("http://" + n.cfg.MetricsAddress.String() + "/metrics")
-		Expect(err).NotTo(HaveOccurred())
-		defer func() { _ = resp.Body.Close() }()
-		b, err := io.ReadAll(resp.Body)
-		Expect(err).NotTo(HaveOccurred())
-		Expect(string(b)).To(ContainSubstring("fescueshed_bundle_version"))
-		Expect(string(b)).To(ContainSubstring("fescueshed_store_call_seconds_count"))
-		Expect(string(b)).To(ContainSubstring(`fescueshed_packets_reset_total{cause="NoRoute"}`))
+		text := metricsOf(n)
+		Expect(text).To(ContainSubstring("fescueshed_bundle_version"))
+		Expect(text).To(ContainSubstring("fescueshed_store_call_seconds_count"))
+		Expect(text).To(ContainSubstring(`fescueshed_packets_reset_total{cause="NoRoute"}`))
 	})
 })
 
+func metricsOf(n *node) string {
+	GinkgoHelper()
+	resp, err := http.Get("http://" + n.cfg.MetricsAddress.String() + "/metrics")
+	Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = resp.Body.Close() }()
+	b, err := io.ReadAll(resp.Body)
+	Expect(err).NotTo(HaveOccurred())
+	return string(b)
+}
+
 const zones = 3
 
 func readers(nodes []*node) int {
--- a/internal/process/carrier/members.go
+++ b/internal/process/carrier/members.go
@@ -219,6 +219,9 @@
 // together of each other; by the second time each has asked a seed.
 var joinAfter = [...]time.Duration{400 * time.Millisecond, 1500 * time.Millisecond, 4 * time.Second}
 
+// JoinedAfter is when the last of them is over.
+const JoinedAfter = 6 * time.Second
+
 // join fetches what others know: the bundle, upstreams and members. A daemon that
 // the store turns away starts by that.
 func (m *members) join(ctx context.Context) {
--- a/internal/process/carrier/news.go
+++ b/internal/process/carrier/news.go
@@ -51,31 +51,30 @@
 }
 
 // heardNews takes in what another daemon read in the store. If that doesn't lead to
-// what the sender knows, everything is fetched from it. Only news that this daemon
-// then holds count as heard: one that can't fetch what it lacks must read the store
-// itself, however fresh the news are.
+// what the sender knows, everything is fetched from it, and the news don't count as
+// heard.
 func (m *members) heardNews(from netip.AddrPort, n *peer.News, now time.Time) {
 	before := m.before(n.From)
 	as := now.Add(-n.Age)
 	c := m.c
-	newBundle := n.Bundle > c.inForce.Version()
+	version := c.inForce.Version()
 	c.mu.Lock()
 	c.catalog.DoubtFor(n.Doubt, now)
 	// Changes of an older state would bring back what went since.
 	if n.AsOf >= c.catalog.AsOf && c.catalog.Len() > 0 && c.catalog.Apply(n.Changes, n.AsOf, now) {
 		c.engine.SetUpstreams(c.catalog.InUse(), now)
 	}
-	lacks := n.AsOf >= c.catalog.AsOf && n.Digest != c.catalog.Digest()
-	if !lacks {
+	lacksBundle, lacksList := n.Lacks(version, c.catalog.AsOf, c.catalog.Digest())
+	if !lacksList {
 		c.confirmList(as)
 	}
-	if !lacks && !newBundle {
+	if !lacksList && !lacksBundle {
 		c.reading.Heard(as, before)
 		c.confirmBundleAt(as)
 	}
 	c.mu.Unlock()
-	if newBundle || lacks {
-		m.pull(from, newBundle)
+	if lacksList || lacksBundle {
+		m.pull(from, lacksBundle)
 	}
 }
 
