--- a/cmd/soak/fault.go
+++ b/cmd/soak/fault.go
@@ -68,20 +68,20 @@
 
 func (r *run) signal(s syscall.Signal) string {
 	i := r.host()
-	r.procs[i].signal(s)
+	r.procs[i].Signal(s)
 	return fmt.Sprintf("%s gets %v", r.w.Hosts[i].Name, s)
 }
 
 func (r *run) pause() string {
 	i, d := r.host(), r.duration()
-	r.procs[i].pause(d)
+	r.procs[i].Pause(d)
 	return fmt.Sprintf("%s stands still for %v", r.w.Hosts[i].Name, d)
 }
 
 func (r *run) killMany() string {
 	for _, p := range r.procs {
 		if r.rng.IntN(4) > 0 {
-			p.signal(syscall.SIGKILL)
+			p.Signal(syscall.SIGKILL)
 		}
 	}
 	return "most balancers are killed"
--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -14,6 +14,8 @@
 
 	"github.com/alecthomas/kong"
 	"github.com/rotisserie/eris"
+
+	"github.com/fescueshed/fescueshed/internal/standin/world"
 )
 
 type commands struct {
@@ -53,11 +55,15 @@
 	if c.Hosts < minHosts || c.Hosts > maxHosts {
 		return 0, eris.Errorf("--hosts is %d, want %d to %d", c.Hosts, minHosts, maxHosts)
 	}
-	binary, clean, err := c.build(ctx)
-	if err != nil {
-		return 0, err
+	binary := c.Binary
+	if binary == "" {
+		built, clean, err := world.Build(ctx)
+		if err != nil {
+			return 0, err
+		}
+		defer clean()
+		binary = built
 	}
-	defer clean()
 	failed := 0
 	for i := range c.Seeds {
 		if ctx.Err() != nil {
--- a/cmd/soak/run.go
+++ b/cmd/soak/run.go
@@ -20,7 +20,7 @@
 type run struct {
 	w     *world.World
 	rng   *rand.Rand
-	procs []*process
+	procs []*world.Process
 	began time.Time
 	// none asks for an upstream at an address of its own.
 	none netip.AddrPort
@@ -29,7 +29,6 @@
 
 // Times around the faults of a run.
 const (
-	startWait = 10 * time.Second
 	// healWait is how long after the last fault has ended all must be served again:
 	// the longest fault, the lapse of a crashed upstream's entry, and the users' bound
 	// for a recovery is far more.
@@ -53,11 +52,12 @@
 		return false, err
 	}
 	defer closeWorld()
-	r := &run{w: w, rng: rand.New(rand.NewPCG(seed, 1)), began: time.Now()}
-	defer r.stop()
-	if err := r.start(ctx, binary, dir); err != nil {
+	procs, stop, err := w.StartProcesses(ctx, binary, dir)
+	if err != nil {
 		return false, err
 	}
+	defer stop()
+	r := &run{w: w, procs: procs, rng: rand.New(rand.NewPCG(seed, 1)), began: time.Now()}
 	o, err := r.play(ctx, c)
 	if err != nil {
 		return false, err
@@ -81,29 +81,6 @@
 	plot               string
 }
 
-func (r *run) start(ctx context.Context, binary, dir string) error {
-	for _, h := range r.w.Hosts {
-		p, err := newProcess(binary, dir, h.Name, r.w.Settings(h))
-		if err != nil {
-			return err
-		}
-		r.procs = append(r.procs, p)
-	}
-	for deadline := time.Now().Add(startWait); r.w.Router.InRotation() < len(r.procs); {
-		if time.Now().After(deadline) || ctx.Err() != nil {
-			return eris.Errorf("soak: %d of %d balancers are ready after %v", r.w.Router.InRotation(), len(r.procs), startWait)
-		}
-		time.Sleep(minFault)
-	}
-	return nil
-}
-
-func (r *run) stop() {
-	for _, p := range r.procs {
-		p.stop()
-	}
-}
-
 // play injects faults while callers work and judges what they and the upstreams saw.
 func (r *run) play(ctx context.Context, c *commands) (*outcome, error) {
 	work, end := context.WithTimeout(ctx, c.Duration+healWait+checkFor)
--- /dev/null
+++ b/cmd/try/cookie.go
@@ -0,0 +1,75 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/fescueshed/fescueshed/internal/standin/world"
+)
+
+// The sizes of a calm trial with flows that carry a cookie.
+const (
+	cookieUpstreams = 18
+	cookieCallers   = 40
+)
+
+// runCookie plays a calm trial with flows that carry a cookie. Failures are for the
+// soak, which injects them at random.
+func (c *runCommand) runCookie(ctx context.Context) error {
+	if len(c.Failure) > 0 {
+		return eris.New("--failure is for --carriage geneve; go run ./cmd/soak injects faults into cookie flows")
+	}
+	binary := c.Binary
+	if binary == "" {
+		built, clean, err := world.Build(ctx)
+		if err != nil {
+			return err
+		}
+		defer clean()
+		binary = built
+	}
+	dir, err := os.MkdirTemp("", "fescueshed-try-")
+	if err != nil {
+		return eris.Wrap(err, "try")
+	}
+	defer func() { _ = os.RemoveAll(dir) }()
+	w, closeWorld, err := world.New(ctx, world.Options{
+		Seed: c.Seed, Hosts: c.Balancers, Upstreams: cookieUpstreams, Callers: cookieCallers,
+	})
+	if err != nil {
+		return err
+	}
+	defer closeWorld()
+	_, stop, err := w.StartProcesses(ctx, binary, dir)
+	if err != nil {
+		return err
+	}
+	defer stop()
+	work, end := context.WithTimeout(ctx, time.Duration(c.Seconds)*time.Second)
+	defer end()
+	tallies, err := w.Work(work)
+	if err != nil {
+		return err
+	}
+	broken := w.Finish()
+	requests, answered, opened := 0, 0, 0
+	for i := range tallies {
+		requests += tallies[i].Requests
+		answered += tallies[i].Answered
+		opened += tallies[i].Opened
+		broken = append(broken, tallies[i].Broken...)
+	}
+	fmt.Printf("%d balancers: %d of %d requests answered over %d flows, %d broken promises, %d calls of the store\n",
+		c.Balancers, answered, requests, opened, len(broken), w.Store.Calls())
+	for _, b := range broken {
+		fmt.Println("broken:", b)
+	}
+	if len(broken) > 0 {
+		return eris.New("a promise was broken")
+	}
+	return nil
+}
--- a/cmd/try/run.go
+++ b/cmd/try/run.go
@@ -12,6 +12,7 @@
 )
 
 type runCommand struct {
+	Carriage   string        `help:"How flows are carried." enum:"geneve,cookie" default:"geneve"`
 	Deployment string        `help:"Whose sizes to use." enum:"kandy,pfarrbrief" default:"kandy"`
 	Balancers  int           `help:"How many balancers to start, spread over the zones." default:"6"`
 	Seconds    int           `help:"How long callers work." default:"12"`
@@ -39,6 +40,9 @@
 	if c.Balancers < minBalancers || c.Balancers > maxBalancers {
 		return fmt.Errorf("--balancers is %d, want %d to %d", c.Balancers, minBalancers, maxBalancers)
 	}
+	if c.Carriage == "cookie" {
+		return c.runCookie(ctx)
+	}
 	fails, err := findFailures(c.Failure)
 	if err != nil {
 		return err
