peer: one reader of the store for all zones

Change: the first reader of all tells the readers of other zones, who pass its news on with their age. Ranks put the readers of zones before their members, so a zone that hears nothing reads for itself within the same bound.

--- a/internal/connection/peer/news.go
+++ b/internal/connection/peer/news.go
@@ -9,7 +9,7 @@
 	"github.com/fescueshed/fescueshed/internal/version/registry"
 )
 
-// News is what a daemon that reads the store tells the others of its zone. It
+// News is what a daemon that knows the store's content tells others. It
 // carries the latest changes, so that a member that heard the one before needs
 // nothing else.
 type News struct {
@@ -118,8 +118,11 @@
 
 // Catalog is all that a daemon knows of the store, for one that lacks some of it.
 type Catalog struct {
-	_   struct{} `cbor:",toarray"`
-	Age time.Duration
+	_ struct{} `cbor:",toarray"`
+	// Known says that the sender holds all of the store's content, Age how long ago
+	// the store last confirmed it.
+	Known bool
+	Age   time.Duration
 	// Bundle is nil if the asker has this version or a newer one.
 	Bundle  *bundle.Bundle
 	Version bundle.Version
--- a/internal/connection/peer/reader.go
+++ b/internal/connection/peer/reader.go
@@ -9,14 +9,36 @@
 	"github.com/fescueshed/fescueshed/internal/version/bundle"
 )
 
-// ReaderRank returns the place of this daemon among those of its zone that may
-// read the store for all, 0 being the first: the largest hosts come first, since
-// telling the others costs most there. Daemons that leave come last.
+// ReaderRank returns the place of this daemon among those that may read the store, 0
+// being the one that reads it for all. The first of each zone, the zone's reader,
+// comes after those of zones whose readers come before it; the others follow by their
+// place in their zone. The largest hosts come first, since telling others costs most
+// there, and daemons that leave come last.
 func (v *View) ReaderRank() int {
 	self := v.byID[v.Self]
 	if self == nil {
 		return 0
 	}
+	rank := v.zoneRank(self)
+	if rank > 0 {
+		return rank
+	}
+	for _, o := range v.OtherReaders() {
+		if compareReaders(o, self) < 0 {
+			rank++
+		}
+	}
+	return rank
+}
+
+// ZoneReader reports whether this daemon is the first of its zone: it hears the
+// reader of all and tells its zone.
+func (v *View) ZoneReader() bool {
+	self := v.byID[v.Self]
+	return self == nil || v.zoneRank(self) == 0
+}
+
+func (v *View) zoneRank(self *Member) int {
 	rank := 0
 	for i := range v.Members {
 		if m := &v.Members[i]; m.Zone == self.Zone && m.ID != v.Self && compareReaders(m, self) < 0 {
@@ -26,6 +48,13 @@
 	return rank
 }
 
+// ReadsBefore reports whether another daemon comes before this one as a reader. A
+// daemon that isn't known yet doesn't.
+func (v *View) ReadsBefore(id ID) bool {
+	self, o := v.byID[v.Self], v.byID[id]
+	return self != nil && o != nil && compareReaders(o, self) < 0
+}
+
 // ZoneMembers returns the other members of this daemon's zone, first readers first.
 func (v *View) ZoneMembers() []*Member {
 	self := v.byID[v.Self]
@@ -77,7 +106,7 @@
 }
 
 // Reading decides whether a daemon reads the store itself or relies on what
-// another one of its zone tells. There is no election: who hears nothing fresh
+// another one tells. There is no election: who hears nothing fresh
 // reads, the first in rank soonest, and stops when somebody before it in rank tells
 // fresh news. A reader that died, stands still, is cut off or is turned away by the
 // store is silent all the same, so each of these ends in the same take-over. It
@@ -89,8 +118,8 @@
 	heard, better time.Time
 }
 
-// Times of the take-over. With a watch of 800 ms and news every 500 ms, fresh news
-// is up to 1.4 s old. A configuration must be in force within 3 s of the store's
+// Times of the take-over. With a watch of 800 ms, news every 500 ms and a hop by the
+// zone's reader, fresh news is up to 1.4 s old. A configuration must be in force within 3 s of the store's
 // acknowledgement at the users' smallest bound: the third in rank reads after
 // 2.2 s.
 const (
--- a/internal/process/carrier/loads.go
+++ b/internal/process/carrier/loads.go
@@ -147,7 +147,7 @@
 	v := m.view.Load()
 	zone := v.ZoneMembers()
 	r := m.c.ownReport(v.Self)
-	if v.ReaderRank() > 0 {
+	if !v.ZoneReader() {
 		send(m, protocolReport, m.reports, r, zone[:1])
 		return
 	}
--- a/internal/process/carrier/members.go
+++ b/internal/process/carrier/members.go
@@ -311,18 +311,6 @@
 	}
 }
 
-// before reports whether another daemon comes before this one as a reader. A
-// daemon that isn't known yet doesn't.
-func (m *members) before(id peer.ID) bool {
-	v := m.view.Load()
-	for i, o := range v.ZoneMembers() {
-		if o.ID == id {
-			return i < v.ReaderRank()
-		}
-	}
-	return false
-}
-
 // bundleInForce returns the bundle in force and its version.
 func (c *Carrier) bundleInForce() (*bundle.Bundle, bundle.Version) {
 	v := c.inForce.Version()
--- a/internal/process/carrier/news.go
+++ b/internal/process/carrier/news.go
@@ -27,13 +27,16 @@
 	urgentPause = 100 * time.Millisecond
 )
 
-// tellNews tells the zone what this daemon read in the store, if it reads it.
+// tellNews tells others what this daemon knows of the store, if that is fresh: one
+// that reads tells its zone and the readers of other zones, a zone's reader that heard
+// it from another tells its zone.
 func (m *members) tellNews(now time.Time) {
 	v := m.view.Load()
 	c := m.c
 	c.mu.Lock()
 	as := c.confirmed()
-	if !c.reading.Reads(v.ReaderRank(), now) || now.Sub(as) > staleNews {
+	reads := c.reading.Reads(v.ReaderRank(), now)
+	if !reads && !v.ZoneReader() || now.Sub(as) > staleNews {
 		c.mu.Unlock()
 		return
 	}
@@ -47,14 +50,18 @@
 	}
 	c.mu.Unlock()
 	n.Bundle = c.inForce.Version()
-	send(m, protocolNews, m.news, n, v.ZoneMembers())
+	to := v.ZoneMembers()
+	if reads {
+		to = append(to, v.OtherReaders()...)
+	}
+	send(m, protocolNews, m.news, n, to)
 }
 
 // heardNews takes in what another daemon read in the store. If that doesn't lead to
 // what the sender knows, everything is fetched from it, and the news don't count as
 // heard.
 func (m *members) heardNews(from netip.AddrPort, n *peer.News, now time.Time) {
-	before := m.before(n.From)
+	v := m.view.Load()
 	as := now.Add(-n.Age)
 	c := m.c
 	version := c.inForce.Version()
@@ -69,12 +76,16 @@
 		c.confirmList(as)
 	}
 	if !lacksList && !lacksBundle {
-		c.reading.Heard(as, before)
+		c.reading.Heard(as, v.ReadsBefore(n.From))
 		c.confirmBundleAt(as)
 	}
 	c.mu.Unlock()
 	if lacksList || lacksBundle {
 		m.pull(from, lacksBundle)
+		return
+	}
+	if o := v.Member(n.From); o != nil && o.Zone != c.cfg.Load().Zone {
+		m.tellNews(now) // This daemon is its zone's reader.
 	}
 }
 
@@ -124,14 +135,19 @@
 		c.takeBundle(got.Version, got.Bundle, "Peer", from.String(), got.Age)
 	}
 	c.takeCatalog(got, sent.Add(-got.Age), now)
+	m.tellNews(now)
 	return nil
 }
 
 // takeCatalog takes in a list that another daemon knew as of a time.
 func (c *Carrier) takeCatalog(got *peer.Catalog, as, now time.Time) {
+	version := c.inForce.Version()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.engine.LearnGone(got.Gone, now)
+	if got.Known && got.Version <= version {
+		c.confirmBundleAt(as)
+	}
 	if !got.Listed || got.AsOf < c.catalog.AsOf {
 		return
 	}
@@ -173,10 +189,11 @@
 	out.Gone = c.engine.Gone()
 	out.AsOf = c.catalog.AsOf
 	out.Doubt = c.catalog.Doubt(now)
-	if c.confirmedList.IsZero() {
+	known := c.confirmed()
+	if known.IsZero() {
 		return out
 	}
-	out.Age = now.Sub(c.confirmedList)
+	out.Known, out.Age = true, now.Sub(known)
 	if params.AsOf < out.AsOf || params.Digest != c.catalog.Digest() {
 		out.Listed = true
 		out.Registrations = c.catalog.List()
