cookie: leave upstreams that fail requests out of new flows

Cause: upstreams that hang or fail part of their requests while their health check is good got as many new flows as others; callers that came back met them again. Change: a request without any sign of an answer for a second, or given up by its caller, counts as failed; over the zone, three failures and a quarter of the requests leave an upstream out for 2 s, doubled up to 8 s, a quarter of a service's at most. Small; open flows stay where they are.

--- a/internal/connection/cookie/engine.go
+++ b/internal/connection/cookie/engine.go
@@ -37,7 +37,9 @@
 	// confirmed is the time at which the list was last known to be complete.
 	confirmed time.Time
 	// heard is when any upstream last showed a sign of life.
-	heard      time.Time
+	heard time.Time
+	// turned is when the windows of outcomes last turned.
+	turned     time.Time
 	busy       map[string]busyness
 	zones      map[zoneService]zoneLoad
 	candidates []upstream.Candidate
--- a/internal/connection/cookie/flow.go
+++ b/internal/connection/cookie/flow.go
@@ -96,6 +96,7 @@
 		f.ack = p.Ack
 		e.alive(f.up, now)
 		if f.busy {
+			f.up.outcomes.answered++
 			e.opts.Answered(now.Sub(f.askedAt))
 		}
 		f.answered()
@@ -109,6 +110,9 @@
 	default:
 		e.unanswered(f.up, now)
 	}
+	if p.Flags.Has(FlagFIN | FlagRST) {
+		e.failed(f) // If a request is in progress, its caller has given it up.
+	}
 	if p.Flags.Has(FlagFIN) {
 		f.closing = true
 		f.uncount()
--- /dev/null
+++ b/internal/connection/cookie/grey.go
@@ -0,0 +1,124 @@
+package cookie
+
+import (
+	"time"
+
+	"github.com/fescueshed/fescueshed/internal/connection/peer"
+	"github.com/fescueshed/fescueshed/internal/version/bundle"
+)
+
+// outcomes counts how requests at one upstream ended in the present and the last
+// window: answered, or failed without any answer. What the bytes of an answer say
+// isn't read.
+type outcomes struct {
+	answered, failed         uint32
+	lastAnswered, lastFailed uint32
+}
+
+func (o *outcomes) turn() {
+	o.lastAnswered, o.lastFailed = o.answered, o.failed
+	o.answered, o.failed = 0, 0
+}
+
+// When an upstream is taken for failing and gets no new flows for a while. Open flows
+// stay: it may answer them.
+const (
+	// failedAfter is how long a request goes without a sign of an answer before it
+	// counts as failed: more than the users' longest response-time goal for requests
+	// on long flows, 600 ms, and than an upstream with a full queue takes.
+	failedAfter = time.Second
+	// outcomeWindow is the time over which outcomes are counted; two windows count.
+	outcomeWindow = 2 * time.Second
+	// failedLeast is the least number of failures over the zone. Fewer may be lost
+	// packets or callers that went away.
+	failedLeast = 3
+	// failedShare is the least share of the requests that failed. The users' failing
+	// upstreams fail two requests in five, or all.
+	failedShare = 0.25
+	// ejectFor is how long an upstream is left out at first, doubled at each of the next
+	// ejections up to ejectTimes.
+	ejectFor   = 2 * time.Second
+	ejectTimes = 3
+	// ejectShare bounds how many of a service's upstreams in the zone are left out: if
+	// more fail, the trouble isn't theirs, or leaving them out would crowd the rest.
+	ejectShare = 0.25
+)
+
+// failed notes a request that got no answer.
+func (e *Engine) failed(f *flow) {
+	if f.busy {
+		f.up.outcomes.failed++
+		f.answered()
+	}
+}
+
+// overdue counts requests that wait for too long as failed. It looks at all flows.
+func (e *Engine) overdue(now time.Time) {
+	for _, f := range e.flows {
+		if f.busy && now.Sub(f.askedAt) > failedAfter {
+			e.failed(f)
+		}
+	}
+	if now.Sub(e.turned) >= outcomeWindow {
+		e.turned = now
+		for _, u := range e.upstreams {
+			u.outcomes.turn()
+		}
+	}
+}
+
+// Loads returns what this balancer counts at the listed upstreams where there is
+// anything to count.
+func (e *Engine) Loads() []peer.Load {
+	var out []peer.Load
+	for id, u := range e.upstreams {
+		o := &u.outcomes
+		l := peer.Load{
+			Upstream: id,
+			Flows:    uint32(max(0, u.load.Flows.Load())),
+			Answered: o.answered + o.lastAnswered,
+			Failed:   o.failed + o.lastFailed,
+		}
+		if u.listed && l.Flows+l.Answered+l.Failed > 0 {
+			out = append(out, l)
+		}
+	}
+	return out
+}
+
+// Judge takes in how requests ended over the whole zone and leaves out the upstreams
+// that fail too many, within ejectShare of those of their service in the zone. One
+// balancer alone sees too few requests of each upstream.
+func (e *Engine) Judge(list []peer.Load, now time.Time) []bundle.UpstreamID {
+	var out []bundle.UpstreamID
+	for _, l := range list {
+		u := e.upstreams[l.Upstream]
+		if u == nil || !u.listed || now.Before(u.ejected) || !fails(l) || !e.mayEject(u, now) {
+			continue
+		}
+		u.ejections = min(u.ejections+1, ejectTimes)
+		u.ejected = now.Add(ejectFor << (u.ejections - 1))
+		u.outcomes = outcomes{}
+		out = append(out, l.Upstream)
+	}
+	return out
+}
+
+func fails(l peer.Load) bool {
+	total := float64(l.Failed + l.Answered)
+	return l.Failed >= failedLeast && float64(l.Failed) >= failedShare*total
+}
+
+func (e *Engine) mayEject(u *Upstream, now time.Time) bool {
+	all, left := 0, 0
+	for _, o := range e.byService[u.Route.Service.Name] {
+		if o.Route.Zone != u.Route.Zone || o.Route.Drain {
+			continue
+		}
+		all++
+		if now.Before(o.ejected) {
+			left++
+		}
+	}
+	return float64(left+1) <= ejectShare*float64(all)
+}
--- a/internal/connection/cookie/load.go
+++ b/internal/connection/cookie/load.go
@@ -108,7 +108,7 @@
 	for name, list := range e.byService {
 		z := peer.ZoneLoad{Zone: e.opts.Zone, Service: name}
 		for _, u := range list {
-			if u.Route.Zone != e.opts.Zone || !u.takes() {
+			if u.Route.Zone != e.opts.Zone || !u.usable() {
 				continue
 			}
 			z.Slots += uint32(u.Route.Slots)
--- a/internal/connection/cookie/open.go
+++ b/internal/connection/cookie/open.go
@@ -23,7 +23,7 @@
 	// be dead or full, and waiting for a second copy would cost 400 ms more. If no
 	// upstream is heard, the trouble is this host's, and another upstream would be as
 	// silent.
-	if f.up.takes() && (now.Sub(f.up.heard) < aliveFor || now.Sub(e.heard) >= aliveFor) {
+	if f.up.usable() && (now.Sub(f.up.heard) < aliveFor || now.Sub(e.heard) >= aliveFor) {
 		return Verdict{Action: ActionForward, Cause: CauseRepeated, Upstream: f.up}
 	}
 	e.unanswered(f.up, now)
@@ -65,13 +65,13 @@
 }
 
 // choose asks the policy for one of the service's upstreams that take flows, the
-// given ones left out. If none does, those that are only suspected are asked for.
+// given ones left out. If none does, those that are only doubted are asked for.
 func (e *Engine) choose(s *bundle.ServiceRoute, seed uint64, not []*Upstream, now time.Time) *Upstream {
 	busy := e.busy[s.Name].perFlow
 	for _, suspected := range [...]bool{false, true} {
 		e.candidates = e.candidates[:0]
 		for _, u := range e.byService[s.Name] {
-			if excluded(u, not) || !e.eligible(u, suspected) {
+			if excluded(u, not) || !u.eligible(suspected, now) {
 				continue
 			}
 			e.candidates = append(e.candidates, upstream.Candidate{
@@ -90,11 +90,13 @@
 	return nil
 }
 
-func (e *Engine) eligible(u *Upstream, suspected bool) bool {
-	if suspected {
-		return u.listed && !u.Route.Drain && !u.shadowed && u.health == HealthSuspect
+// eligible reports whether a new flow may go there, or, if suspected is set, whether
+// it may for want of a better one: where the upstream is doubted or left out.
+func (u *Upstream) eligible(suspected bool, now time.Time) bool {
+	if !suspected {
+		return u.takes(now)
 	}
-	return u.takes()
+	return u.listed && !u.Route.Drain && !u.shadowed && u.health != HealthDead
 }
 
 func excluded(u *Upstream, not []*Upstream) bool {
--- a/internal/connection/cookie/upstream.go
+++ b/internal/connection/cookie/upstream.go
@@ -74,12 +74,22 @@
 	probing        bool
 	nextProbe      time.Time
 	timeouts       int
+	// outcomes are those of requests that passed this balancer. Until ejected, the
+	// upstream gets no new flow, since it failed too many over the zone.
+	outcomes  outcomes
+	ejected   time.Time
+	ejections int
 	// refused says that the last probe of a draining upstream was refused.
 	refused bool
 }
 
 // takes reports whether a new flow may go there.
-func (u *Upstream) takes() bool {
+func (u *Upstream) takes(now time.Time) bool {
+	return !now.Before(u.ejected) && u.usable()
+}
+
+// usable reports whether the upstream takes flows, apart from how it answers.
+func (u *Upstream) usable() bool {
 	return u.listed && !u.Route.Drain && !u.shadowed && u.health == HealthGood
 }
 
--- a/internal/connection/cookie/watch.go
+++ b/internal/connection/cookie/watch.go
@@ -184,6 +184,7 @@
 // Expire forgets flows without packets and upstreams that went long ago. It is
 // called about once a second.
 func (e *Engine) Expire(now time.Time) {
+	e.overdue(now)
 	for k, f := range e.flows {
 		age := now.Sub(f.last)
 		if age > quietAfter {
--- a/internal/connection/peer/news.go
+++ b/internal/connection/peer/news.go
@@ -31,13 +31,13 @@
 const (
 	// MaxNewsChanges bounds Changes: one takes up to 60 bytes.
 	MaxNewsChanges = 16
-	// MaxLoads bounds Loads: one takes up to 14 bytes.
-	MaxLoads = 80
+	// MaxLoads bounds Loads: one takes about 14 bytes.
+	MaxLoads = 64
 	// MaxDead bounds Dead.
 	MaxDead = 16
 	// MaxZones bounds Zones. One takes about 30 bytes; what is more than fits beside
 	// the loads of a large zone isn't told, and nothing spills there.
-	MaxZones = 24
+	MaxZones = 12
 	// MaxServices bounds Services.
 	MaxServices = 16
 )
@@ -55,11 +55,12 @@
 	return nil
 }
 
-// Load is how many flows somebody counts at an upstream.
+// Load is what somebody counts at an upstream: its flows, and how requests on them
+// ended in the last while.
 type Load struct {
-	_        struct{} `cbor:",toarray"`
-	Upstream bundle.UpstreamID
-	Flows    uint32
+	_                       struct{} `cbor:",toarray"`
+	Upstream                bundle.UpstreamID
+	Flows, Answered, Failed uint32
 }
 
 // ZoneLoad is how many flows the usable upstreams of a service hold in a zone, and
@@ -110,7 +111,10 @@
 
 // Check implements the check of a wire type.
 func (r *Report) Check() error {
-	if r.From == 0 || len(r.Loads) > MaxLoads || len(r.Dead) > MaxDead || len(r.Zones) > MaxZones || len(r.Services) > MaxServices {
+	switch {
+	case r.From == 0, len(r.Loads) > MaxLoads, len(r.Dead) > MaxDead:
+		return ErrMessage
+	case len(r.Zones) > MaxZones, len(r.Services) > MaxServices:
 		return ErrMessage
 	}
 	return nil
--- a/internal/connection/peer/reader_test.go
+++ b/internal/connection/peer/reader_test.go
@@ -14,15 +14,15 @@
 )
 
 var _ = Describe("Reading the store for a zone", func() {
-	member := func(name string, zone bundle.Zone, size uint32, s peer.State) peer.Member {
-		return peer.Member{ID: peer.IDOf(name), Name: name, Zone: zone, Size: size, State: s}
+	member := func(name string, zone bundle.Zone, size uint32) peer.Member {
+		return peer.Member{ID: peer.IDOf(name), Name: name, Zone: zone, Size: size, State: peer.StateAlive}
 	}
 
 	It("falls to the largest host of the zone that stays", func() {
 		members := []peer.Member{
-			member("small", "a", 60, peer.StateAlive),
-			member("large", "a", 800, peer.StateAlive),
-			member("other", "b", 800, peer.StateAlive),
+			member("small", "a", 60),
+			member("large", "a", 800),
+			member("other", "b", 800),
 		}
 		view := func(name string) *peer.View { return peer.NewView(peer.IDOf(name), members, peer.Changes{}) }
 		Expect(view("large").ZoneReader()).To(BeTrue())
@@ -38,8 +38,8 @@
 
 	It("falls to one daemon of all zones, and the readers of the others follow it", func() {
 		members := []peer.Member{
-			member("a1", "a", 80, peer.StateAlive), member("a2", "a", 60, peer.StateAlive),
-			member("b1", "b", 70, peer.StateAlive), member("c1", "c", 60, peer.StateAlive),
+			member("a1", "a", 80), member("a2", "a", 60),
+			member("b1", "b", 70), member("c1", "c", 60),
 		}
 		rank := func(name string) int { return peer.NewView(peer.IDOf(name), members, peer.Changes{}).ReaderRank() }
 		Expect([]int{rank("a1"), rank("b1"), rank("c1"), rank("a2")}).To(Equal([]int{0, 1, 2, 1}))
--- a/internal/process/carrier/loads.go
+++ b/internal/process/carrier/loads.go
@@ -1,10 +1,14 @@
 package carrier
 
 import (
+	"cmp"
+	"maps"
 	"slices"
 	"sync"
 	"time"
 
+	"k8s.io/klog/v2"
+
 	"github.com/fescueshed/fescueshed/internal/connection/peer"
 	"github.com/fescueshed/fescueshed/internal/connection/upstream"
 	"github.com/fescueshed/fescueshed/internal/version/bundle"
@@ -70,7 +74,7 @@
 	z.mu.Lock()
 	defer z.mu.Unlock()
 	out := &peer.Report{From: self, Sum: true}
-	flows := make(map[bundle.UpstreamID]uint32)
+	loads := make(map[bundle.UpstreamID]peer.Load)
 	services := make(map[string]peer.ServiceLoad)
 	for id, t := range z.told {
 		if now.Sub(t.at) > reportFor {
@@ -78,7 +82,11 @@
 			continue
 		}
 		for _, l := range t.report.Loads {
-			flows[l.Upstream] += l.Flows
+			have := loads[l.Upstream]
+			loads[l.Upstream] = peer.Load{
+				Upstream: l.Upstream, Flows: have.Flows + l.Flows,
+				Answered: have.Answered + l.Answered, Failed: have.Failed + l.Failed,
+			}
 		}
 		for _, s := range t.report.Services {
 			have := services[s.Service]
@@ -92,7 +100,7 @@
 			}
 		}
 	}
-	out.Loads = topLoads(flows)
+	out.Loads = topLoads(slices.Collect(maps.Values(loads)))
 	for _, s := range services {
 		if len(out.Services) < peer.MaxServices {
 			out.Services = append(out.Services, s)
@@ -101,22 +109,12 @@
 	return out
 }
 
-// topLoads returns the largest counts, as many as fit a report.
-func topLoads(flows map[bundle.UpstreamID]uint32) []peer.Load {
-	out := make([]peer.Load, 0, len(flows))
-	for id, n := range flows {
-		out = append(out, peer.Load{Upstream: id, Flows: n})
-	}
-	slices.SortFunc(out, func(a, b peer.Load) int {
-		if a.Flows != b.Flows {
-			return int(b.Flows) - int(a.Flows)
-		}
-		if a.Upstream < b.Upstream {
-			return -1
-		}
-		return 1
+// topLoads returns the loads with most flows, as many as fit a report.
+func topLoads(list []peer.Load) []peer.Load {
+	slices.SortFunc(list, func(a, b peer.Load) int {
+		return cmp.Or(cmp.Compare(b.Flows, a.Flows), cmp.Compare(a.Upstream, b.Upstream))
 	})
-	return out[:min(len(out), peer.MaxLoads)]
+	return list[:min(len(list), peer.MaxLoads)]
 }
 
 // zoneMember is the member under which Board keeps what the rest of the zone counts.
@@ -126,16 +124,10 @@
 func (c *Carrier) ownReport(self peer.ID) *peer.Report {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	flows := make(map[bundle.UpstreamID]uint32)
-	for _, r := range c.catalog.List() {
-		if n := c.engine.Board.Load(r.ID).Flows.Load(); n > 0 {
-			flows[r.ID] = uint32(n)
-		}
-	}
 	dead, services := c.engine.Dead(), c.engine.Services()
 	return &peer.Report{
 		From:     self,
-		Loads:    topLoads(flows),
+		Loads:    topLoads(c.engine.Loads()),
 		Dead:     dead[:min(len(dead), peer.MaxDead)],
 		Services: services[:min(len(services), peer.MaxServices)],
 	}
@@ -194,6 +186,9 @@
 	}
 	c.engine.SetZones(r.Zones, now)
 	c.engine.Sample(r.Services)
+	for _, id := range c.engine.Judge(r.Loads, now) {
+		klog.InfoS("Upstream gets no new flows: too many requests fail", "ID", id)
+	}
 	c.engine.Board.Keep(nil)
 	c.engine.Board.Heard(zoneMember, ids, flows)
 	for _, id := range r.Dead {
