registry: send members the changes they lack instead of the list

News hold 16 changes; whoever missed more fetched the whole list, 150 KB, twice a second, and a partial news moved its revision on, so it could never ask for just the rest. Change: a member asks for the changes since its revision, which moves only when the digest matches; lists go out only if the log doesn't reach back.

--- a/internal/connection/peer/news.go
+++ b/internal/connection/peer/news.go
@@ -29,7 +29,8 @@
 
 // Limits of a News and a Report, so that each fits one datagram.
 const (
-	// MaxNewsChanges bounds Changes: one takes up to 60 bytes.
+	// MaxNewsChanges bounds Changes: one takes up to 60 bytes. A member that misses
+	// more fetches them.
 	MaxNewsChanges = 16
 	// MaxLoads bounds Loads: one takes about 14 bytes.
 	MaxLoads = 64
@@ -131,11 +132,14 @@
 	Bundle  *bundle.Bundle
 	Version bundle.Version
 	AsOf    objects.Revision
+	Digest  uint64
 	Doubt   time.Duration
-	// Listed says that Registrations is the list as of AsOf. It isn't sent to an
-	// asker that knows as much.
+	// Listed says that Registrations is the list as of AsOf. Changed says that Changes
+	// lead there from what the asker knows. Neither is sent to one that knows as much.
 	Listed        bool
 	Registrations []registry.Registration
+	Changed       bool
+	Changes       []registry.Change
 	// Members are the daemons that the sender knows.
 	Members []Member
 	// Gone are upstreams that left the list and were found dead. A daemon that
@@ -157,6 +161,11 @@
 			return err
 		}
 	}
+	for i := range c.Changes {
+		if err := c.Changes[i].Check(); err != nil {
+			return err
+		}
+	}
 	for i := range c.Registrations {
 		if err := c.Registrations[i].Check(); err != nil {
 			return err
@@ -178,4 +187,6 @@
 	Version bundle.Version
 	AsOf    objects.Revision
 	Digest  uint64
+	// Whole asks for the whole list: the changes didn't lead to the same digest.
+	Whole bool
 }
--- a/internal/process/carrier/carrier.go
+++ b/internal/process/carrier/carrier.go
@@ -71,6 +71,8 @@
 	catalog *registry.Catalog
 	reading peer.Reading
 	current *bundle.Bundle
+	// lacksWhole is set if changes of another daemon didn't lead to its list.
+	lacksWhole bool
 	// confirmedBundle and confirmedList are as of when the store's content is known.
 	confirmedBundle, confirmedList time.Time
 }
--- a/internal/process/carrier/news.go
+++ b/internal/process/carrier/news.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"net/netip"
 	"time"
 
@@ -67,8 +68,7 @@
 	version := c.inForce.Version()
 	c.mu.Lock()
 	c.catalog.DoubtFor(n.Doubt, now)
-	// Changes of an older state would bring back what went since.
-	if n.AsOf >= c.catalog.AsOf && c.catalog.Len() > 0 && c.catalog.Apply(n.Changes, n.AsOf, now) {
+	if c.catalog.Hear(n.Changes, n.AsOf, n.Digest, now) {
 		c.engine.SetUpstreams(c.catalog.InUse(), now)
 	}
 	lacksBundle, lacksList := n.Lacks(version, c.catalog.AsOf, c.catalog.Digest())
@@ -100,7 +100,7 @@
 		if err := m.fetch(from); err != nil {
 			klog.V(1).InfoS("Catalog not fetched", "From", from, "Error", err)
 		}
-		pause := pullPause
+		pause := pullPause/2 + rand.N(pullPause)
 		if urgent {
 			pause = urgentPause
 		}
@@ -115,7 +115,7 @@
 	sent := time.Now()
 	c := m.c
 	c.mu.Lock()
-	params := peer.CatalogParams{AsOf: c.catalog.AsOf, Digest: c.catalog.Digest()}
+	params := peer.CatalogParams{AsOf: c.catalog.AsOf, Digest: c.catalog.Digest(), Whole: c.lacksWhole}
 	c.mu.Unlock()
 	params.Version = c.inForce.Version()
 	sealed, err := peer.CallRPC[[]byte](ctx, from, peer.MethodCatalog, params)
@@ -148,14 +148,25 @@
 	if got.Known && got.Version <= version {
 		c.confirmBundleAt(as)
 	}
-	if !got.Listed || got.AsOf < c.catalog.AsOf {
+	if got.AsOf < c.catalog.AsOf || !got.Listed && !got.Changed {
 		return
 	}
 	c.catalog.DoubtFor(got.Doubt, now)
-	if c.catalog.Replace(got.Registrations, got.AsOf, now) {
+	var changed bool
+	if got.Listed {
+		changed = c.catalog.Replace(got.Registrations, got.AsOf, now)
+	} else {
+		changed = c.catalog.Apply(got.Changes, got.AsOf, now)
+	}
+	if changed {
 		c.engine.SetUpstreams(c.catalog.InUse(), now)
 	}
-	c.confirmList(as)
+	// Changes may not have led to the sender's list: entries of the same revision that
+	// only one of the two has. Then the whole list is asked for next.
+	c.lacksWhole = got.Changed && got.Digest != c.catalog.Digest()
+	if !c.lacksWhole {
+		c.confirmList(as)
+	}
 }
 
 func (m *members) handleRPC(_ context.Context, _ *jsonrpc2.Conn, r *jsonrpc2.Request) (any, error) {
@@ -187,14 +198,20 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	out.Gone = c.engine.Gone()
-	out.AsOf = c.catalog.AsOf
+	out.AsOf, out.Digest = c.catalog.AsOf, c.catalog.Digest()
 	out.Doubt = c.catalog.Doubt(now)
 	known := c.confirmed()
 	if known.IsZero() {
 		return out
 	}
 	out.Known, out.Age = true, now.Sub(known)
-	if params.AsOf < out.AsOf || params.Digest != c.catalog.Digest() {
+	if params.AsOf == out.AsOf && params.Digest == c.catalog.Digest() || params.AsOf > out.AsOf {
+		return out
+	}
+	if !params.Whole {
+		out.Changes, out.Changed = c.catalog.Since(params.AsOf)
+	}
+	if !out.Changed {
 		out.Listed = true
 		out.Registrations = c.catalog.List()
 	}
--- a/internal/version/registry/catalog.go
+++ b/internal/version/registry/catalog.go
@@ -23,6 +23,8 @@
 	vanished map[bundle.UpstreamID]kept
 	// log holds the latest changes, for members that are a little behind.
 	log []logged
+	// forgotten is the revision up to which the log no longer has all changes.
+	forgotten objects.Revision
 	// doubtUntil is the time up to which a vanished entry may be a lapse of the
 	// store and not of the upstream.
 	doubtUntil time.Time
@@ -35,6 +37,7 @@
 
 type logged struct {
 	at     time.Time
+	asOf   objects.Revision
 	change Change
 }
 
@@ -49,8 +52,9 @@
 	massShare = 0.5
 	// massLeast is the number of vanished entries below which none is doubted.
 	massLeast = 3
-	// maxLog bounds the log; a member that is further behind asks for everything.
-	maxLog = 256
+	// maxLog bounds the log; a member that is further behind is sent everything. It
+	// holds some seconds of a rolling replacement of thousands of upstreams.
+	maxLog = 2048
 )
 
 // NewCatalog returns a catalog without entries.
@@ -106,11 +110,35 @@
 	if asOf < c.AsOf {
 		return false
 	}
+	first := c.AsOf == 0
+	changed := c.take(changes, asOf, now)
 	c.AsOf = asOf
+	if first {
+		// What was listed at first isn't news, and nobody is behind it by a few changes.
+		c.log, c.forgotten = nil, asOf
+	}
+	return changed
+}
+
+// Hear takes in the latest of the changes that lead to asOf, and the digest of the
+// list there. Only if that is reached, the catalog is as of it: otherwise some of the
+// earlier changes are missing, and are to be asked for from where the catalog was.
+func (c *Catalog) Hear(changes []Change, asOf objects.Revision, digest uint64, now time.Time) bool {
+	if asOf < c.AsOf || c.AsOf == 0 {
+		return false
+	}
+	changed := c.take(changes, asOf, now)
+	if c.Digest() == digest {
+		c.AsOf = asOf
+	}
+	return changed
+}
+
+func (c *Catalog) take(changes []Change, asOf objects.Revision, now time.Time) bool {
 	c.doubtMass(changes, now)
 	changed := false
 	for i := range changes {
-		changed = c.apply(changes[i], now) || changed
+		changed = c.apply(changes[i], asOf, now) || changed
 	}
 	return changed
 }
@@ -136,7 +164,7 @@
 	}
 }
 
-func (c *Catalog) apply(ch Change, now time.Time) bool {
+func (c *Catalog) apply(ch Change, asOf objects.Revision, now time.Time) bool {
 	old, known := c.entries[ch.ID]
 	if !ch.Gone {
 		delete(c.vanished, ch.ID)
@@ -144,25 +172,27 @@
 			return false
 		}
 		c.entries[ch.ID] = ch.Registration
-		c.note(ch, now)
+		c.note(ch, asOf, now)
 		return true
 	}
 	if !known {
 		return false
 	}
 	delete(c.entries, ch.ID)
-	c.note(Change{Registration: old, Gone: true}, now)
+	c.note(Change{Registration: old, Gone: true}, asOf, now)
 	if !old.Draining && now.Before(c.doubtUntil) {
 		c.vanished[ch.ID] = kept{Registration: old, until: c.doubtUntil}
 	}
 	return true
 }
 
-func (c *Catalog) note(ch Change, now time.Time) {
+func (c *Catalog) note(ch Change, asOf objects.Revision, now time.Time) {
 	if len(c.log) == maxLog {
-		c.log = slices.Delete(c.log, 0, 1)
+		half := maxLog / 2
+		c.forgotten = c.log[half-1].asOf
+		c.log = slices.Delete(c.log, 0, half)
 	}
-	c.log = append(c.log, logged{at: now, change: ch})
+	c.log = append(c.log, logged{at: now, asOf: asOf, change: ch})
 }
 
 // Expire removes vanished entries whose time is over. It reports whether there
@@ -190,6 +220,22 @@
 	return out[max(0, len(out)-n):]
 }
 
+// Since returns the changes after a revision, oldest first, and whether the log has
+// all of them. A member that lacks a few is sent these instead of the whole list: at
+// 3000 upstreams that is 150 KB for each member and each change that it missed.
+func (c *Catalog) Since(asOf objects.Revision) ([]Change, bool) {
+	if asOf < c.forgotten || asOf == 0 {
+		return nil, false
+	}
+	var out []Change
+	for i := range c.log {
+		if c.log[i].asOf > asOf {
+			out = append(out, c.log[i].change)
+		}
+	}
+	return out, true
+}
+
 // Digest is a sum over the store's entries and their revisions. Two catalogs with
 // one digest hold the same, so a member sees without the list whether it lacks
 // something. Vanished entries don't count: daemons may doubt for different times.
--- a/internal/version/registry/catalog_test.go
+++ b/internal/version/registry/catalog_test.go
@@ -96,6 +96,43 @@
 		Expect(c.Recent(start, 1)).To(HaveLen(1))
 	})
 
+	// Three hundred balancers each miss one of a hundred changes a second, and each
+	// fetches the list of 3000 upstreams from one small host, again and again.
+	It("sends a member that lacks a few changes just these", func() {
+		c, member := filled(8), filled(8)
+		for n := range 20 {
+			r := entry(1 + n%8)
+			r.Revision = objects.Revision(101 + n)
+			c.Apply([]registry.Change{{Registration: r}}, objects.Revision(101+n), start)
+		}
+		c.Apply([]registry.Change{{Registration: entry(4), Gone: true}}, 130, start)
+		changes, ok := c.Since(member.AsOf)
+		Expect(ok).To(BeTrue())
+		Expect(changes).To(HaveLen(21))
+		member.Apply(changes, c.AsOf, start)
+		Expect(member.Digest()).To(Equal(c.Digest()))
+		_, ok = c.Since(99)
+		Expect(ok).To(BeFalse(), "the log doesn't reach back")
+	})
+
+	// More changed than fits one datagram. A member that takes the latest for all asks
+	// for what comes after them, and never hears of the earlier ones.
+	It("asks from where it was if the news didn't have all changes", func() {
+		c, member := filled(8), filled(8)
+		for n := range 4 {
+			r := entry(1 + n)
+			r.Revision = objects.Revision(101 + n)
+			c.Apply([]registry.Change{{Registration: r}}, objects.Revision(101+n), start)
+		}
+		Expect(member.Hear(c.Recent(start.Add(-time.Second), 2), c.AsOf, c.Digest(), start)).To(BeTrue())
+		Expect(member.AsOf).To(Equal(objects.Revision(100)))
+		changes, _ := c.Since(member.AsOf)
+		member.Apply(changes, c.AsOf, start)
+		Expect(member.Digest()).To(Equal(c.Digest()))
+		Expect(member.Hear(nil, 104, c.Digest(), start)).To(BeFalse())
+		Expect(member.AsOf).To(Equal(objects.Revision(104)))
+	})
+
 	It("has the same digest as one that doubts", func() {
 		c, doubting := filled(8), filled(8)
 		doubting.StoreReturned(start)
