cookie: a changed entry costs one entry, not the list

Cause: each change made a route of every upstream anew and sorted all of them; with 3000 upstreams and several lists a second that is more than a small host has. Change: entries of the same revision are passed over; look-up tables are made again only when an upstream comes or goes.

--- a/internal/connection/cookie/bench_test.go
+++ b/internal/connection/cookie/bench_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/fescueshed/fescueshed/internal/connection/cookie"
 	"github.com/fescueshed/fescueshed/internal/connection/upstream"
+	"github.com/fescueshed/fescueshed/internal/version/bundle"
 )
 
 const (
@@ -79,3 +80,20 @@
 		}
 	}
 }
+
+// BenchmarkUpstreams takes in a list of 3000 upstreams of which one changed.
+func BenchmarkUpstreams(b *testing.B) {
+	gomega.RegisterTestingT(b)
+	list := registrations(100)
+	for i := range 2900 {
+		r := list[i%100]
+		r.ID = bundle.UpstreamID(0xdef0000 + i)
+		list = append(list, r)
+	}
+	e := newEngine(list)
+	b.ReportAllocs()
+	for b.Loop() {
+		list[7].Revision++
+		e.SetUpstreams(list, start)
+	}
+}
--- a/internal/connection/cookie/engine.go
+++ b/internal/connection/cookie/engine.go
@@ -32,6 +32,8 @@
 	byCookie  map[Cookie]*Upstream
 	byService map[string][]*Upstream
 	flows     map[Key]*flow
+	// lists counts the lists taken in.
+	lists uint64
 	// unknown holds when cookies of upstreams that aren't known were first seen.
 	unknown map[Cookie]time.Time
 	// confirmed is the time at which the list was last known to be complete.
@@ -110,37 +112,49 @@
 	return out
 }
 
-// SetUpstreams takes in the list of registered upstreams.
+// SetUpstreams takes in the list of registered upstreams. What didn't change since
+// the last list costs one look-up each: lists of thousands come several times a
+// second while upstreams are replaced.
 func (e *Engine) SetUpstreams(list []registry.Registration, now time.Time) {
-	listed := make(map[bundle.UpstreamID]bool, len(list))
+	e.lists++
+	changed := false
 	for i := range list {
-		listed[list[i].ID] = true
-		e.setUpstream(&list[i], now)
+		changed = e.setUpstream(&list[i], now) || changed
 	}
-	for id, u := range e.upstreams {
-		if u.listed && !listed[id] {
+	for _, u := range e.upstreams {
+		if u.listed && u.inList != e.lists {
 			u.listed = false
 			u.goneAt = now
 			u.doubt(now)
+			changed = true
 		}
 	}
-	e.index()
+	if changed {
+		e.index()
+	}
 }
 
-func (e *Engine) setUpstream(r *registry.Registration, now time.Time) {
+// setUpstream takes in one entry. It reports whether the look-up tables change by it.
+func (e *Engine) setUpstream(r *registry.Registration, now time.Time) bool {
 	u := e.upstreams[r.ID]
+	if u != nil {
+		u.inList = e.lists
+		if u.listed && u.revision == r.Revision {
+			return false
+		}
+	}
 	if u == nil {
-		u = &Upstream{Cookie: Of(r.ID), load: e.Board.Load(r.ID)}
+		u = &Upstream{Cookie: Of(r.ID), load: e.Board.Load(r.ID), inList: e.lists}
 		e.upstreams[r.ID] = u
 	}
-	if !u.listed || u.revision != r.Revision {
-		u.coldUntil = now.Add(r.Warmup)
-	}
+	u.coldUntil = now.Add(r.Warmup)
 	if !u.listed && u.health != HealthGood {
 		u.nextProbe = now // It is back on the list: look at once whether it lives.
 	}
+	known := u.listed
 	u.listed, u.revision = true, r.Revision
 	u.Route = e.upstreamRoute(r)
+	return !known
 }
 
 // Confirm notes that the list was complete at a time.
--- a/internal/version/registry/catalog.go
+++ b/internal/version/registry/catalog.go
@@ -259,12 +259,15 @@
 	return out
 }
 
-// InUse returns the registrations to route by: the store's and those that vanished
-// from it but are still kept.
+// InUse returns the registrations to route by, in no particular order: the store's
+// and those that vanished from it but are still kept.
 func (c *Catalog) InUse() []Registration {
-	out := c.List()
-	for _, id := range slices.Sorted(maps.Keys(c.vanished)) {
-		out = append(out, c.vanished[id].Registration)
+	out := make([]Registration, 0, len(c.entries)+len(c.vanished))
+	for _, r := range c.entries {
+		out = append(out, r)
+	}
+	for _, k := range c.vanished {
+		out = append(out, k.Registration)
 	}
 	return out
 }
