--- a/internal/process/carrier/doc.go
+++ b/internal/process/carrier/doc.go
@@ -4,5 +4,6 @@
 // packages cookie, registry and peer.
 //
 // Locks: bundle.InForce, then Carrier.mu, which guards engine, catalog and reading,
-// then Carrier.members.mu. Nothing is sent and no line is written while one is held.
+// then members.mu. Nothing is sent and no line is written while one of the last two
+// is held.
 package carrier
--- a/internal/process/carrier/news.go
+++ b/internal/process/carrier/news.go
@@ -108,6 +108,8 @@
 	})
 }
 
+// fetch asks another daemon for what this one lacks: a newer bundle, changed
+// upstreams, members, and upstreams that went.
 func (m *members) fetch(from netip.AddrPort) error {
 	m.pulls.Add(1)
 	ctx, cancel := context.WithTimeout(m.ctx, pullTimeout)
