--- a/internal/process/logs/logs.go
+++ b/internal/process/logs/logs.go
@@ -72,11 +72,11 @@
 }
 
 // Setup sends the lines of klog to w, each once: by itself klog writes an error to
-// the outputs of all lower severities too.
+// the outputs of all lower severities too, and to standard error.
 func Setup(w io.Writer) error {
 	var flags flag.FlagSet
 	klog.InitFlags(&flags)
-	for name, value := range map[string]string{"logtostderr": "false", "one_output": "true"} {
+	for name, value := range map[string]string{"logtostderr": "false", "one_output": "true", "stderrthreshold": "FATAL"} {
 		if err := flags.Set(name, value); err != nil {
 			return eris.Wrapf(err, "logs: %s", name)
 		}
