--- a/cmd/soak/fault.go
+++ b/cmd/soak/fault.go
@@ -7,8 +7,8 @@
 	"syscall"
 	"time"
 
+	"github.com/fescueshed/fescueshed/internal/standin/metadata"
 	"github.com/fescueshed/fescueshed/internal/standin/world"
-	"github.com/fescueshed/fescueshed/platform/standin"
 )
 
 // fault is one kind of fault of the plan. It says what it did, or nothing if it
@@ -97,7 +97,7 @@
 }
 
 func (r *run) store() string {
-	troubles := map[string]standin.Trouble{
+	troubles := map[string]metadata.Trouble{
 		"down":   {Status: http.StatusServiceUnavailable},
 		"busy":   {Status: http.StatusTooManyRequests},
 		"cut":    {Reset: true},
@@ -112,7 +112,7 @@
 		if name == "deaf" {
 			r.w.Store.Forget()
 		}
-		r.w.Store.SetTrouble(standin.Trouble{})
+		r.w.Store.SetTrouble(metadata.Trouble{})
 	})
 	return fmt.Sprintf("the store is %s for %v", name, d)
 }
--- a/internal/process/carrier/carrier_test.go
+++ b/internal/process/carrier/carrier_test.go
@@ -15,11 +15,11 @@
 	"github.com/fescueshed/fescueshed/internal/process/carrier"
 	"github.com/fescueshed/fescueshed/internal/process/settings"
 	"github.com/fescueshed/fescueshed/internal/standin/flows"
+	"github.com/fescueshed/fescueshed/internal/standin/metadata"
 	"github.com/fescueshed/fescueshed/internal/standin/world"
 	"github.com/fescueshed/fescueshed/internal/version/bundle"
 	"github.com/fescueshed/fescueshed/internal/version/objects"
 	"github.com/fescueshed/fescueshed/platform"
-	"github.com/fescueshed/fescueshed/platform/standin"
 )
 
 // patience bounds what is awaited. It is far more than a test takes; how long it
@@ -147,7 +147,7 @@
 		h := w.Hosts[0]
 		h.Proxy.Set(world.LinkReset)
 		n := startNode(w, h)
-		first := standin.Segments{}.Encode(&flows.Segment{
+		first := metadata.Segments{}.Encode(&flows.Segment{
 			From: netip.MustParseAddrPort("127.1.9.9:1024"), To: netip.MustParseAddrPort("198.18.0.1:443"), Flags: cookie.FlagSYN,
 		})
 		conn, err := net.Dial("udp4", w.DataAddress(h).String())
@@ -166,10 +166,10 @@
 	It("put a bundle in force though the store's watches heard nothing of it", func() {
 		w := newWorld(3)
 		nodes := startAll(w)
-		w.Store.SetTrouble(standin.Trouble{Deaf: true})
+		w.Store.SetTrouble(metadata.Trouble{Deaf: true})
 		v := w.Roll()
 		w.Store.Forget()
-		w.Store.SetTrouble(standin.Trouble{})
+		w.Store.SetTrouble(metadata.Trouble{})
 		Eventually(inForce(nodes, v), patience).Should(BeTrue())
 	})
 
--- a/platform/standin/packets.go
+++ b/internal/standin/metadata/packets.go
@@ -1,6 +1,6 @@
-// Package standin is the platform's other end for tests: its packets as callers and
+// Package metadata is the platform's other end for tests: its packets as callers and
 // upstreams write them, and a metadata store with its faults as switches.
-package standin
+package metadata
 
 import (
 	"encoding/binary"
--- a/platform/standin/store.go
+++ b/internal/standin/metadata/store.go
@@ -1,4 +1,4 @@
-package standin
+package metadata
 
 import (
 	"encoding/json"
--- a/internal/standin/world/callers.go
+++ b/internal/standin/world/callers.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"github.com/fescueshed/fescueshed/internal/standin/flows"
-	"github.com/fescueshed/fescueshed/platform/standin"
+	"github.com/fescueshed/fescueshed/internal/standin/metadata"
 )
 
 // callerRetries is how often callers repeat a request that may be repeated.
@@ -36,7 +36,7 @@
 	o := flows.CallerOptions{
 		IP: netip.AddrFrom4([4]byte{127, 1, byte(i >> 8), byte(i + 1)}), Port: w.ports.Data,
 		Idempotent: i%3 != 0, Period: callerPeriod, Deadline: callerDeadline, Retries: callerRetries,
-		Router: w.Router, Codec: standin.Segments{}, Rng: rand.New(rand.NewPCG(w.opts.Seed, uint64(i))),
+		Router: w.Router, Codec: metadata.Segments{}, Rng: rand.New(rand.NewPCG(w.opts.Seed, uint64(i))),
 		Judge: w.Judge,
 	}
 	switch i % 4 {
--- a/internal/standin/world/world.go
+++ b/internal/standin/world/world.go
@@ -17,9 +17,9 @@
 
 	"github.com/fescueshed/fescueshed/internal/connection/cookie"
 	"github.com/fescueshed/fescueshed/internal/standin/flows"
+	"github.com/fescueshed/fescueshed/internal/standin/metadata"
 	"github.com/fescueshed/fescueshed/internal/version/bundle"
 	"github.com/fescueshed/fescueshed/internal/version/registry"
-	"github.com/fescueshed/fescueshed/platform/standin"
 )
 
 // Sizes of a world.
@@ -64,7 +64,7 @@
 type World struct {
 	opts    Options
 	ports   Ports
-	Store   *standin.Store
+	Store   *metadata.Store
 	Router  *flows.Router
 	Hosts   []*Host
 	cleanup []func()
@@ -113,7 +113,7 @@
 
 // New starts the stand-ins. The clean-up function ends them.
 func New(ctx context.Context, o Options) (*World, func(), error) {
-	w := &World{opts: o, Store: standin.NewStore(), rng: rand.New(rand.NewPCG(o.Seed, o.Seed)), lastRoute: ServiceFeed}
+	w := &World{opts: o, Store: metadata.NewStore(), rng: rand.New(rand.NewPCG(o.Seed, o.Seed)), lastRoute: ServiceFeed}
 	ctx, cancel := context.WithCancel(ctx)
 	w.cleanup = append(w.cleanup, cancel)
 	for _, step := range []func(context.Context) error{w.findPorts, w.startStore, w.startHosts, w.startServers} {
@@ -180,7 +180,7 @@
 		h.Proxy = p
 		h.route = &flows.Host{
 			Data:  netip.AddrPortFrom(ip, w.ports.Data),
-			Ready: standin.ReadinessURL(netip.AddrPortFrom(ip, w.ports.Ready)),
+			Ready: metadata.ReadinessURL(netip.AddrPortFrom(ip, w.ports.Ready)),
 		}
 		routed = append(routed, h.route)
 		w.Hosts = append(w.Hosts, h)
@@ -217,7 +217,7 @@
 	id := bundle.UpstreamID(w.rng.Uint64N(1 << 40))
 	u, end, err := flows.NewUpstream(flows.UpstreamOptions{
 		ID: id, Service: service, Zone: bundle.Zone(zone), Address: at, CallerPort: w.ports.Data,
-		Work: workTime, Slots: slotsPerServer, Codec: standin.Segments{}, Health: standin.Health(id),
+		Work: workTime, Slots: slotsPerServer, Codec: metadata.Segments{}, Health: metadata.Health(id),
 	})
 	if err != nil {
 		return err
