carrier: a leaving daemon ends when routers have stopped sending to it

A host that leaves served on for a fixed 2.5 s and was away when the next one left; routers that see fewer than half of a zone's hosts use all of them, so packets went to a process that had just ended. Ruled out: upstreams (the release was over), the newcomer's start (45 ms). Change: it ends once two readiness checks were refused and no packet came for 400 ms, at the latest after three quarters of the grace period. The stand-in router has the same rule of the half.

--- a/internal/process/carrier/carrier.go
+++ b/internal/process/carrier/carrier.go
@@ -64,6 +64,7 @@
 	answered, probed metrics.Histogram
 	started          time.Time
 	leaving          atomic.Bool
+	departure        departure
 
 	// mu guards what follows.
 	mu      sync.Mutex
@@ -121,10 +122,13 @@
 }
 
 // Ready reports whether routers should send packets here.
-func (c *Carrier) Ready() bool {
+func (c *Carrier) Ready() bool { return c.placesFlows() && !c.leaving.Load() }
+
+// placesFlows reports whether the daemon knows enough to place flows.
+func (c *Carrier) placesFlows() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.engine.Ready() && !c.leaving.Load()
+	return c.engine.Ready()
 }
 
 // Version returns the version of the bundle in force, or zero.
@@ -165,14 +169,27 @@
 	c.members.tellNews(now)
 }
 
-// Leave serves on until routers have noticed that this daemon isn't ready.
+// Leave serves on until routers have stopped sending packets here.
 func (c *Carrier) Leave() {
+	began := time.Now()
+	c.departure.begin(began, c.cfg.Load().LingerLimit())
 	c.leaving.Store(true)
 	c.members.leave()
 	klog.InfoS("Leaving", "Flows", c.flows())
-	time.Sleep(time.Duration(c.cfg.Load().Linger))
+	for now := began; !c.departure.over(now); now = time.Now() {
+		time.Sleep(departurePoll)
+	}
 	c.members.left()
-	klog.InfoS("Left", "Flows", c.flows())
+	klog.InfoS("Left", "Flows", c.flows(), "After", time.Since(began))
+}
+
+// checkReady answers a readiness check.
+func (c *Carrier) checkReady() bool {
+	if c.Ready() {
+		return true
+	}
+	c.departure.checked(time.Now())
+	return false
 }
 
 func (c *Carrier) flows() int {
--- a/internal/process/carrier/data.go
+++ b/internal/process/carrier/data.go
@@ -88,10 +88,7 @@
 
 func (d *data) awaitReady(ctx context.Context) bool {
 	for {
-		d.c.mu.Lock()
-		ready := d.c.engine.Ready()
-		d.c.mu.Unlock()
-		if ready {
+		if d.c.placesFlows() {
 			return true
 		}
 		select {
@@ -141,6 +138,9 @@
 // waited says that it may have waited for long.
 func (d *data) handle(b []byte, now time.Time, waited bool) {
 	d.received.Add(1)
+	if d.c.leaving.Load() {
+		d.c.departure.received(now)
+	}
 	var p cookie.Packet
 	if d.c.platform.Packets.Decode(b[d.c.platform.Packets.Headroom():], &p) != nil {
 		d.c.drop(cookie.CauseMalformed)
--- /dev/null
+++ b/internal/process/carrier/departure_test.go
@@ -0,0 +1,68 @@
+package carrier
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+// A rolling restart stops hosts one after the other. A host that serves on for a
+// fixed pause is still away when the next one leaves; routers then see fewer than half
+// of the zone's hosts and use all of them, and the packets for the one that has just
+// ended are lost. So a host ends as soon as routers have stopped sending, not before.
+var _ = Describe("A departure", func() {
+	start := time.Unix(1000, 0)
+	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+	newDeparture := func() *departure {
+		d := &departure{}
+		d.begin(start, 4*time.Second)
+		return d
+	}
+
+	It("goes on while routers haven't noticed", func() {
+		d := newDeparture()
+		d.checked(at(300))
+		Expect(d.over(at(2000))).To(BeFalse())
+	})
+
+	It("is over when they have and no packet came for a while", func() {
+		d := newDeparture()
+		d.checked(at(300))
+		d.checked(at(800))
+		Expect(d.over(at(1100))).To(BeFalse())
+		Expect(d.over(at(1200))).To(BeTrue())
+	})
+
+	It("goes on while packets come", func() {
+		d := newDeparture()
+		d.checked(at(300))
+		d.checked(at(800))
+		d.received(at(1700))
+		Expect(d.over(at(2000))).To(BeFalse())
+		Expect(d.over(at(2100))).To(BeTrue())
+	})
+
+	It("isn't put off by readiness checks that follow", func() {
+		d := newDeparture()
+		for ms := 300; ms <= 3300; ms += 500 {
+			d.checked(at(ms))
+		}
+		Expect(d.over(at(1200))).To(BeTrue())
+	})
+
+	It("is over at its limit in any case", func() {
+		d := newDeparture()
+		d.received(at(3990))
+		Expect(d.over(at(3999))).To(BeFalse())
+		Expect(d.over(at(4000))).To(BeTrue())
+	})
+
+	It("doesn't count checks from before it began", func() {
+		d := &departure{}
+		d.checked(at(-500))
+		d.checked(at(-100))
+		d.begin(start, 4*time.Second)
+		Expect(d.over(at(900))).To(BeFalse())
+	})
+})
--- a/internal/process/carrier/http.go
+++ b/internal/process/carrier/http.go
@@ -18,7 +18,7 @@
 const readHeaderTimeout = 5 * time.Second
 
 func (c *Carrier) startReadiness(ctx context.Context) (func(), error) {
-	return serveHTTP(ctx, c.cfg.Load().ReadinessAddress, c.platform.Readiness(c.Ready))
+	return serveHTTP(ctx, c.cfg.Load().ReadinessAddress, c.platform.Readiness(c.checkReady))
 }
 
 func (c *Carrier) startMetrics(ctx context.Context) (func(), error) {
--- a/internal/process/settings/cookie.go
+++ b/internal/process/settings/cookie.go
@@ -37,8 +37,8 @@
 	FlowLifetime bundle.Duration
 	// Grace is the time from SIGTERM to the end of the process, at most.
 	Grace bundle.Duration
-	// Linger is how long a daemon serves on after SIGTERM, since routers notice
-	// only by their next two checks that it isn't ready.
+	// Linger is how long a daemon serves on after SIGTERM at most. It ends sooner
+	// once routers have stopped sending to it. Zero takes a part of Grace.
 	Linger bundle.Duration
 	// WatchWait is how long one watch of the store waits for changes. A watch may
 	// hear nothing while changes are made, so this is part of the time in which a
@@ -57,7 +57,6 @@
 	return Cookie{
 		FlowLifetime:  bundle.Duration(time.Minute),
 		Grace:         bundle.Duration(6 * time.Second),
-		Linger:        bundle.Duration(2500 * time.Millisecond),
 		WatchWait:     bundle.Duration(800 * time.Millisecond),
 		ProbeTimeout:  bundle.Duration(250 * time.Millisecond),
 		ProbePeriod:   bundle.Duration(500 * time.Millisecond),
@@ -109,6 +108,19 @@
 	checkRange(f, "LogsPerSecond", s.LogsPerSecond, 1, 1_000_000)
 }
 
+// lingerPart is the part of Grace for which a daemon serves on if Linger isn't set. The
+// rest is for its end, which takes milliseconds, on a host that is short of processor
+// time.
+const lingerPart = 0.75
+
+// LingerLimit returns how long a daemon serves on after SIGTERM at most.
+func (s *Cookie) LingerLimit() time.Duration {
+	if s.Linger > 0 {
+		return time.Duration(s.Linger)
+	}
+	return time.Duration(lingerPart * float64(s.Grace))
+}
+
 // Print returns the settings as JSON, the secret left out.
 func (s Cookie) Print() []byte {
 	s.Secret = nil
--- a/internal/standin/flows/router.go
+++ b/internal/standin/flows/router.go
@@ -87,8 +87,10 @@
 			r.rotation = append(r.rotation, h)
 		}
 	}
-	if len(r.rotation) == 0 {
-		r.rotation = append(r.rotation, r.hosts...)
+	if 2*len(r.rotation) < len(r.hosts) {
+		// So few can't carry all, and a check may be wrong: all are used, as if none
+		// had missed one.
+		r.rotation = append(r.rotation[:0], r.hosts...)
 	}
 }
 
