peer: a restart with a clock that jumped back doesn't leave a member leaving for good

A host that was told to stop, killed before its end and started with an earlier clock had a lower incarnation than its leaving predecessor; nobody told it, since that one counted as present. Before: the new test fails (state Leaving after 5 s). After: it passes. Change: whoever hears a lower incarnation of another boot tells the sender, which refutes. Also gone: the unused cause OtherService of package cookie.

--- a/internal/connection/cookie/cause.go
+++ b/internal/connection/cookie/cause.go
@@ -41,8 +41,6 @@
 	CauseSilent
 	// CauseSpilled: a new flow went to another zone, which had more room.
 	CauseSpilled
-	// CauseOtherService: the cookie names an upstream that the route never led to.
-	CauseOtherService
 
 	// NumCauses is the number of causes.
 	NumCauses
@@ -50,7 +48,7 @@
 
 var causeNames = [NumCauses]string{
 	"None", "Malformed", "NoRoute", "NoUpstream", "Gone", "Dead", "UnknownCookie", "NoCookie", "StaleOpen",
-	"Placed", "Repeated", "Silent", "Spilled", "OtherService",
+	"Placed", "Repeated", "Silent", "Spilled",
 }
 
 // String names the cause.
--- a/internal/connection/peer/membership.go
+++ b/internal/connection/peer/membership.go
@@ -258,9 +258,9 @@
 		m.apply(msg.Updates[i], now)
 	}
 	var out []Envelope
-	if old := m.peers[msg.From.ID]; old != nil && old.Incarnation >= msg.From.Incarnation && !old.present() {
-		// The sender doesn't know that it is taken for dead: tell it, so that it
-		// can refute with a higher incarnation.
+	if old := m.peers[msg.From.ID]; old != nil && outdated(old, &msg.From) {
+		// The sender doesn't know what it is taken for: tell it, so that it can refute
+		// with a higher incarnation.
 		m.spread(old.Member)
 	}
 	switch msg.Kind {
@@ -276,6 +276,17 @@
 	return out
 }
 
+// outdated reports whether what is known of a member is wrong though its incarnation
+// is not lower than the one that the member gives itself: it is taken for dead, or for
+// an earlier run of its process. The latter comes of a time of day that jumped back
+// before the restart; a leaving member that was killed would be leaving for good.
+func outdated(known *record, says *Member) bool {
+	if known.Incarnation < says.Incarnation {
+		return false
+	}
+	return !known.present() || known.Boot != says.Boot
+}
+
 // Learn takes in members that another daemon knows. It spreads nothing: who told
 // them has done so.
 func (m *Membership) Learn(now time.Time, members []Member) {
--- a/internal/connection/peer/membership_test.go
+++ b/internal/connection/peer/membership_test.go
@@ -60,6 +60,25 @@
 		}
 	})
 
+	// A host that was told to stop is killed before it ended and starts again, and its
+	// time of day has jumped back meanwhile. Its new incarnation is lower than the one
+	// that others know, so they would take it for leaving for as long as it runs: it
+	// would never read the store or report for its zone, however large it is.
+	It("isn't taken for leaving after a restart with a clock that jumped back", func() {
+		w := links.New(9, 8)
+		w.Until(10*time.Second, w.Agreed)
+		m := w.Members[3]
+		w.Send(m, m.Leave(w.Now))
+		w.Run(5 * time.Second) // Until nobody passes it on any more.
+		m.Clock = -time.Hour
+		w.Boot(m)
+		w.Run(5 * time.Second)
+		for i, o := range w.Members {
+			Expect(o.View().Member(m.Host.ID).State).To(Equal(peer.StateAlive), "as member %d sees it", i)
+			Expect(o.View().Member(m.Host.ID).Boot).To(Equal(m.Host.Boot), "as member %d sees it", i)
+		}
+	})
+
 	It("serves on in each zone of a cut, and finds itself whole after it", func() {
 		w := links.New(9, 5)
 		w.Until(10*time.Second, w.Agreed)
--- a/internal/standin/links/links.go
+++ b/internal/standin/links/links.go
@@ -31,6 +31,8 @@
 	Up bool
 	// PausedUntil keeps the member from running; its datagrams wait.
 	PausedUntil time.Time
+	// Clock is by how much its time of day is wrong at its next boot.
+	Clock time.Duration
 	// Sent and Bytes count datagrams, with their headers, while Measured is set.
 	Sent, Bytes int
 }
@@ -92,7 +94,7 @@
 func (w *Network) Boot(m *Member) {
 	m.Up = true
 	m.Host.Boot = w.Rng.Uint64()
-	m.Host.Incarnation = peer.Incarnation(w.Now.UnixMilli())
+	m.Host.Incarnation = peer.Incarnation(w.Now.Add(m.Clock).UnixMilli())
 	m.Membership = peer.NewMembership(peer.Config{}, m.Host, rand.New(rand.NewPCG(w.Rng.Uint64(), 2)))
 	known := min(len(w.Members), 5)
 	seeds := make([]netip.AddrPort, 0, known)
