Start from a seed, list by pages that go on, retry by rank

Cause: at 300 hosts that come back from a loss of power, each lists 3000 upstreams in 61 calls at once (18,300 calls; the store allows 6,000 a second). A refused page threw the pages before it away, so lists began anew and kept the store busy. Members fetched all members and all upstreams that went with each catalog: 36 KB and more at 300 hosts. Change, one cause: what is known costs the store as little as can be. A list goes on with the page that failed; a daemon that starts reads stale pages and what they lack by a watch that doesn't wait; before, it asks a seed, for 25 ms; pauses after failures grow with the rank; catalogs carry members and gone upstreams for those that join; the digest of a list is kept instead of computed. One entry that can't be used is left out with a line, where it hid the whole list.

--- a/internal/connection/peer/news.go
+++ b/internal/connection/peer/news.go
@@ -140,10 +140,11 @@
 	Registrations []registry.Registration
 	Changed       bool
 	Changes       []registry.Change
-	// Members are the daemons that the sender knows.
+	// Members are the daemons that the sender knows, for one that joins.
 	Members []Member
-	// Gone are upstreams that left the list and were found dead. A daemon that
-	// started after they went can look for itself and tell the callers of their flows.
+	// Gone are upstreams that left the list and were found dead, for one that joins. A
+	// daemon that started after they went can look for itself and tell the callers of
+	// their flows.
 	Gone []GoneUpstream
 }
 
@@ -189,4 +190,8 @@
 	Digest  uint64
 	// Whole asks for the whole list: the changes didn't lead to the same digest.
 	Whole bool
+	// Joining says that the asker started lately, and asks for Members and Gone too.
+	// Others hear of these by gossip and by reports; at 300 hosts the members alone
+	// are 36 KB.
+	Joining bool
 }
--- a/internal/connection/peer/reader.go
+++ b/internal/connection/peer/reader.go
@@ -155,3 +155,33 @@
 	}
 	return r.reads
 }
+
+// Pauses after calls of the store that failed.
+const (
+	// minRetry and maxRetry bound the pause of the first in rank. Every call is paid
+	// for, also one that is refused; a store that comes back is found within the longer.
+	minRetry = 200 * time.Millisecond
+	maxRetry = time.Second
+	// retryRanks is by how many ranks the longest pause grows by maxRetry: the calls of
+	// all daemons together then grow with the logarithm of their number. A store that
+	// is away is asked 9 times a second by a zone of 26, where all with the same
+	// pause asked 35 times.
+	retryRanks = 3
+	// maxRetryRank bounds that growth: one of so many finds a way to the store that
+	// those before it haven't, as when the store turns them away.
+	maxRetryRank = 60
+)
+
+// RetryPause returns how long a daemon at a rank waits after so many failed calls in a
+// row. It is spread by a factor of 0.5 to 1.5, of which part, 0 to 1, says how much.
+func RetryPause(rank, failures int, part float64) time.Duration {
+	longest := maxRetry * time.Duration(retryRanks+min(rank, maxRetryRank)) / retryRanks
+	pause := longest
+	if failures < maxDoublings {
+		pause = min(longest, minRetry<<failures)
+	}
+	return time.Duration((0.5 + part) * float64(pause))
+}
+
+// maxDoublings is when the pause of any rank is its longest.
+const maxDoublings = 8
--- a/internal/connection/peer/reader_test.go
+++ b/internal/connection/peer/reader_test.go
@@ -75,6 +75,35 @@
 	})
 })
 
+var _ = Describe("Calls of a store that fails", func() {
+	// The store is away for half a minute and all daemons of a zone look for it. Each
+	// call is paid for, and when it comes back it refuses most for want of a rate. The
+	// first in rank find it just as soon, and tell the others.
+	It("grow with the logarithm of the daemons, and the first still make them often", func() {
+		perSecond := func(members int) float64 {
+			sum := 0.0
+			for rank := range members {
+				sum += 1 / peer.RetryPause(rank, 100, 0.5).Seconds()
+			}
+			return sum
+		}
+		Expect(perSecond(26)).To(BeNumerically("<", 9))
+		Expect(perSecond(60)).To(BeNumerically("<", 10))
+		Expect(perSecond(1600)-perSecond(60)).To(BeNumerically("<", 80), "each of the rest asks every 20 s or so")
+		for rank := range 3 {
+			Expect(peer.RetryPause(rank, 100, 1)).To(BeNumerically("<=", 2500*time.Millisecond))
+		}
+	})
+
+	It("begin soon at any rank, are spread, and never come without a pause", func() {
+		Expect(peer.RetryPause(40, 0, 0)).To(Equal(100 * time.Millisecond))
+		Expect(peer.RetryPause(40, 0, 1)).To(Equal(300 * time.Millisecond))
+		for failures := range 200 {
+			Expect(peer.RetryPause(0, failures, 0)).To(BeNumerically(">=", 100*time.Millisecond))
+		}
+	})
+})
+
 var _ = Describe("News", func() {
 	// A member hears fresh news of a bundle that it can't fetch, takes them for its
 	// zone's word, and routes by the old bundle for good.
--- a/internal/process/carrier/carrier_test.go
+++ b/internal/process/carrier/carrier_test.go
@@ -20,6 +20,7 @@
 	"github.com/fescueshed/fescueshed/internal/version/bundle"
 	"github.com/fescueshed/fescueshed/internal/version/objects"
 	"github.com/fescueshed/fescueshed/platform"
+	"github.com/fescueshed/fescueshed/platform/wire"
 )
 
 // patience bounds what is awaited. It is far more than a test takes; how long it
@@ -139,6 +140,68 @@
 		Eventually(inForce(nodes, w.Roll()), patience).Should(BeTrue())
 	})
 
+	// All hosts come back from a loss of power at once, and the store refuses what is
+	// over its rate. A host that lists anew after each refusal is never ready.
+	It("start though the store refuses most calls", func() {
+		w := newWorld(3)
+		w.Store.SetTrouble(metadata.Trouble{ServeOneOf: 4})
+		for _, h := range w.Hosts {
+			n := startNode(w, h)
+			Eventually(n.Ready, patience).Should(BeTrue())
+			Expect(n.Upstreams()).To(Equal(12))
+		}
+	})
+
+	// The store drops its history while it refuses what is over its rate. Who watches
+	// must list again; one that begins anew after each refusal would route by an old
+	// list for as long as that goes on.
+	It("list to the end though the store refuses most calls", func() {
+		w := newWorld(3)
+		nodes := startAll(w)
+		w.Store.SetTrouble(metadata.Trouble{ServeOneOf: 4, Deaf: true})
+		Expect(w.AddServer(world.ServiceFeed, w.Hosts[0].Zone, netip.AddrPort{})).To(Succeed())
+		w.Store.Forget()
+		for _, n := range nodes {
+			Eventually(n.Upstreams, patience).Should(Equal(13))
+		}
+	})
+
+	// A host starts and reads a copy of the store that lags. An upstream has left
+	// meanwhile and another has joined; flows to the first are never answered.
+	It("know what a lagging copy of the store lacks before they are ready", func() {
+		w := newWorld(3)
+		w.Store.Lag()
+		Expect(w.AddServer(world.ServiceFeed, w.Hosts[0].Zone, netip.AddrPort{})).To(Succeed())
+		n := startNode(w, w.Hosts[0])
+		Eventually(n.Ready, patience).Should(BeTrue())
+		Expect(n.Upstreams()).To(Equal(13))
+	})
+
+	// The copy lags by more than the history that the store keeps. A host that listed
+	// from the copy again and again would never be ready.
+	It("start though the store dropped the history since its copy", func() {
+		w := newWorld(3)
+		w.Store.Lag()
+		Expect(w.AddServer(world.ServiceFeed, w.Hosts[0].Zone, netip.AddrPort{})).To(Succeed())
+		w.Store.Forget()
+		n := startNode(w, w.Hosts[0])
+		Eventually(n.Ready, patience).Should(BeTrue())
+		Expect(n.Upstreams()).To(Equal(13))
+	})
+
+	// One upstream registers itself with an entry that can't be used. If the whole list
+	// were refused, no flow of any service would be placed.
+	It("pass over an entry that can't be used", func() {
+		w := newWorld(3)
+		w.Store.Put(wire.KindServers, "i-0000000001", &wire.Server{Service: world.ServiceFeed})
+		n := startNode(w, w.Hosts[0])
+		Eventually(n.Ready, patience).Should(BeTrue())
+		Expect(n.Upstreams()).To(Equal(12))
+		w.Store.Put(wire.KindServers, "i-0000000002", "neither can this")
+		Expect(w.AddServer(world.ServiceFeed, w.Hosts[0].Zone, netip.AddrPort{})).To(Succeed())
+		Eventually(n.Upstreams, patience).Should(Equal(13))
+	})
+
 	// A host starts while the store is away. When it is ready, it forwards first
 	// packets that waited in its socket, though their callers have opened the flows
 	// through other hosts meanwhile: a second upstream answers, and the flows break.
--- a/internal/process/carrier/members.go
+++ b/internal/process/carrier/members.go
@@ -42,6 +42,10 @@
 	view atomic.Pointer[peer.View]
 	// pulling is set while everything is fetched from another daemon.
 	pulling atomic.Bool
+	// asked is closed when a seed has answered the first question, or didn't in time.
+	asked chan struct{}
+	// telling bounds how many others are told everything at once.
+	telling chan struct{}
 
 	// mu guards group, epoch and nextSeed.
 	mu       sync.Mutex
@@ -65,7 +69,9 @@
 
 func (c *Carrier) startMembers(ctx context.Context) (func(), error) {
 	cfg := c.cfg.Load()
-	m := &members{c: c, loads: newZoneLoads()}
+	m := &members{
+		c: c, loads: newZoneLoads(), asked: make(chan struct{}), telling: make(chan struct{}, maxTold),
+	}
 	if err := m.newCodecs(secret(cfg)); err != nil {
 		return nil, err
 	}
@@ -222,9 +228,34 @@
 // JoinedAfter is when the last of them is over.
 const JoinedAfter = 6 * time.Second
 
+// firstAnswer bounds the first question to a seed. A daemon of the zone answers within
+// 10 ms, one of another zone within 20; if all hosts start at the same time, the
+// connection is refused at once, or the seed says that it knows nothing.
+const firstAnswer = 25 * time.Millisecond
+
+// askSeed asks one seed for everything before the store is read. Where daemons are
+// replaced one after the other, that saves each the lists of the store: four calls at
+// 150 upstreams, 61 at 3000.
+func (m *members) askSeed() {
+	defer close(m.asked)
+	var seeds []netip.AddrPort
+	for _, s := range m.c.cfg.Load().Seeds {
+		if s != m.c.cfg.Load().ControlAddress {
+			seeds = append(seeds, s)
+		}
+	}
+	if len(seeds) == 0 {
+		return
+	}
+	if err := m.fetch(seeds[rand.IntN(len(seeds))], firstAnswer); err != nil {
+		klog.InfoS("No seed told what it knows, so the store is read", "Error", err.Error())
+	}
+}
+
 // join fetches what others know: the bundle, upstreams and members. A daemon that
 // the store turns away starts by that.
 func (m *members) join(ctx context.Context) {
+	m.askSeed()
 	for _, after := range joinAfter {
 		sleep(ctx, after/2+rand.N(after)-time.Since(m.c.started))
 		if to := m.anyone(); to.IsValid() && ctx.Err() == nil {
--- a/internal/process/carrier/news.go
+++ b/internal/process/carrier/news.go
@@ -26,6 +26,13 @@
 	// different lists by two readers would else fill the link of a small host.
 	pullPause   = 500 * time.Millisecond
 	urgentPause = 100 * time.Millisecond
+	// maxTold is how many others that start are told everything at once. A list of 3000 upstreams
+	// is 150 KB; a hundred hosts that start together would fill a small host's link for
+	// seconds. Those that are turned away ask again or read the store.
+	maxTold = 4
+	// codeBusy is the code of the error that says so, of those that JSON-RPC 2.0
+	// leaves to the application.
+	codeBusy = 1
 )
 
 // tellNews tells others what this daemon knows of the store, if that is fresh: one
@@ -97,7 +104,7 @@
 	}
 	m.wg.Go(func() {
 		defer m.pulling.Store(false)
-		if err := m.fetch(from); err != nil {
+		if err := m.fetch(from, pullTimeout); err != nil {
 			klog.V(1).InfoS("Catalog not fetched", "From", from, "Error", err)
 		}
 		pause := pullPause/2 + rand.N(pullPause)
@@ -110,9 +117,9 @@
 
 // fetch asks another daemon for what this one lacks: a newer bundle, changed
 // upstreams, members, and upstreams that went.
-func (m *members) fetch(from netip.AddrPort) error {
+func (m *members) fetch(from netip.AddrPort, timeout time.Duration) error {
 	m.pulls.Add(1)
-	ctx, cancel := context.WithTimeout(m.ctx, pullTimeout)
+	ctx, cancel := context.WithTimeout(m.ctx, timeout)
 	defer cancel()
 	sent := time.Now()
 	c := m.c
@@ -120,6 +127,7 @@
 	params := peer.CatalogParams{AsOf: c.catalog.AsOf, Digest: c.catalog.Digest(), Whole: c.lacksWhole}
 	c.mu.Unlock()
 	params.Version = c.inForce.Version()
+	params.Joining = sent.Sub(c.started) < JoinedAfter
 	sealed, err := peer.CallRPC[[]byte](ctx, from, peer.MethodCatalog, params)
 	if err != nil {
 		return err
@@ -166,8 +174,12 @@
 	// Changes may not have led to the sender's list: entries of the same revision that
 	// only one of the two has. Then the whole list is asked for next.
 	c.lacksWhole = got.Changed && got.Digest != c.catalog.Digest()
-	if !c.lacksWhole {
-		c.confirmList(as)
+	if c.lacksWhole {
+		return
+	}
+	c.confirmList(as)
+	if got.Known && got.Version <= version {
+		c.reading.Heard(as, false)
 	}
 }
 
@@ -181,10 +193,20 @@
 			return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: err.Error()}
 		}
 	}
+	if params.Joining {
+		select {
+		case m.telling <- struct{}{}:
+			defer func() { <-m.telling }()
+		default:
+			return nil, &jsonrpc2.Error{Code: codeBusy, Message: "others are told already"}
+		}
+	}
 	out := m.c.tell(params)
-	m.mu.Lock()
-	out.Members = m.group.Known()
-	m.mu.Unlock()
+	if params.Joining {
+		m.mu.Lock()
+		out.Members = m.group.Known()
+		m.mu.Unlock()
+	}
 	sealed, err := m.catalog.Encode(out)
 	return sealed, eris.Wrap(err, "catalog")
 }
@@ -199,7 +221,9 @@
 	now := time.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	out.Gone = c.engine.Gone()
+	if params.Joining {
+		out.Gone = c.engine.Gone()
+	}
 	out.AsOf, out.Digest = c.catalog.AsOf, c.catalog.Digest()
 	out.Doubt = c.catalog.Doubt(now)
 	known := c.confirmed()
--- a/internal/process/carrier/store.go
+++ b/internal/process/carrier/store.go
@@ -9,6 +9,7 @@
 	"github.com/rotisserie/eris"
 	"k8s.io/klog/v2"
 
+	"github.com/fescueshed/fescueshed/internal/connection/peer"
 	"github.com/fescueshed/fescueshed/internal/version/bundle"
 	"github.com/fescueshed/fescueshed/internal/version/objects"
 	"github.com/fescueshed/fescueshed/internal/version/registry"
@@ -20,11 +21,6 @@
 	// batchPause lets further changes gather before the next watch: one call then
 	// brings many of them, and a storm of changes costs few calls.
 	batchPause = 150 * time.Millisecond
-	// minBackoff and maxBackoff bound the pause after a call that failed. Every
-	// call is paid for, also one that is refused; a store that comes back is found
-	// within the longer one.
-	minBackoff = 200 * time.Millisecond
-	maxBackoff = time.Second
 )
 
 // follower keeps up with one kind of the store's objects.
@@ -32,12 +28,18 @@
 	c    *Carrier
 	feed objects.Feed[T]
 	name string
+	// long says that the kind may take many pages to list.
+	long bool
 	// list takes a whole list, changes what came after it. Both are told when the
 	// store answered.
 	list    func(objects.Snapshot[T], time.Time)
 	changes func(objects.Changes[T], time.Time)
 	// failed is since when calls fail; zero if they don't.
 	failed time.Time
+	// listing is the list in progress, nil if there is none. fresh says that the next
+	// must not be a stale one.
+	listing *objects.Listing[T]
+	fresh   bool
 }
 
 func (c *Carrier) startStore(ctx context.Context) (func(), error) {
@@ -47,7 +49,8 @@
 		c: c, feed: c.platform.Bundles, name: "Bundles", list: c.listBundles, changes: c.changeBundles,
 	}
 	registrations := &follower[registry.Registration]{
-		c: c, feed: c.platform.Registrations, name: "Registrations", list: c.listUpstreams, changes: c.changeUpstreams,
+		c: c, feed: c.platform.Registrations, name: "Registrations", long: true,
+		list: c.listUpstreams, changes: c.changeUpstreams,
 	}
 	wg.Go(func() { bundles.run(ctx) })
 	wg.Go(func() { registrations.run(ctx) })
@@ -57,8 +60,8 @@
 	}, nil
 }
 
-// reads reports whether this daemon reads the store now: until it knows anything
-// at all, and then as peer.Reading says.
+// reads reports whether this daemon reads the store now: until it knows anything at
+// all, if no other daemon could tell it, and then as peer.Reading says.
 func (c *Carrier) reads(now time.Time) bool {
 	rank := c.members.view.Load().ReaderRank()
 	c.mu.Lock()
@@ -67,54 +70,98 @@
 }
 
 func (f *follower[T]) run(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+		return
+	case <-f.c.members.asked:
+	}
 	// Zero means that the kind is to be listed.
 	var asOf objects.Revision
-	backoff := minBackoff
+	failures := 0
 	for ctx.Err() == nil {
 		if !f.c.reads(time.Now()) {
-			asOf = 0
+			asOf, f.listing, failures = 0, nil, 0
 			sleep(ctx, idlePoll)
 			continue
 		}
 		next, changed, err := f.step(ctx, asOf)
 		switch {
 		case err == nil:
-			asOf, backoff = next, minBackoff
+			asOf, failures = next, 0
 			if changed {
 				f.c.members.tellNews(time.Now())
 				sleep(ctx, batchPause)
 			}
 		case eris.Is(err, objects.ErrHistoryGone):
 			klog.InfoS("Store dropped its history", "Kind", f.name, "AsOf", asOf)
-			asOf = 0
+			asOf, f.listing, f.fresh = 0, nil, true
 		default:
 			f.fails(err)
-			sleep(ctx, backoff/2+rand.N(backoff))
-			backoff = min(2*backoff, maxBackoff)
+			sleep(ctx, peer.RetryPause(f.c.members.view.Load().ReaderRank(), failures, rand.Float64()))
+			failures++
 		}
 	}
 }
 
-// step makes one call and takes in what it brings.
+// step lists or watches once and takes in what that brings.
 func (f *follower[T]) step(ctx context.Context, asOf objects.Revision) (objects.Revision, bool, error) {
 	if asOf == 0 {
-		s, err := f.feed.List(ctx)
-		if err != nil {
-			return asOf, false, err
-		}
-		f.answered()
-		f.list(s, time.Now())
-		return s.AsOf, true, nil
+		next, err := f.listAll(ctx)
+		return next, err == nil, err
 	}
 	ch, err := f.feed.Watch(ctx, asOf, time.Duration(f.c.cfg.Load().WatchWait))
 	if err != nil {
 		return asOf, false, err
 	}
 	f.answered()
+	f.report(ch.Findings)
 	f.changes(ch, time.Now())
 	return ch.AsOf, len(ch.List) > 0, nil
 }
 
+// listAll reads the whole list. A daemon that starts takes stale pages, and a watch
+// that doesn't wait then brings what they lack: when all hosts come back from a loss of
+// power, fresh ones are more than the store allows (300 hosts that list 3000 upstreams
+// in pages of 50 are 18,000 calls). Any other daemon takes fresh pages: a store that
+// drops its history is stale and deaf at once, and the list would be taken for complete
+// though it lacks seconds.
+func (f *follower[T]) listAll(ctx context.Context) (objects.Revision, error) {
+	if f.listing == nil {
+		f.listing = objects.NewListing[T](f.long && !f.fresh && !f.c.placesFlows())
+	}
+	for !f.listing.Done() {
+		p, err := f.feed.List(ctx, f.listing.Next())
+		if err != nil {
+			return 0, err
+		}
+		f.report(p.Findings)
+		f.listing.Add(p)
+	}
+	s := f.listing.Snapshot()
+	late := objects.Changes[T]{AsOf: s.AsOf}
+	if f.listing.Stale {
+		ch, err := f.feed.Watch(ctx, s.AsOf, 0)
+		if err != nil {
+			return 0, err
+		}
+		f.report(ch.Findings)
+		late = ch
+	}
+	f.listing, f.fresh = nil, false
+	f.answered()
+	now := time.Now()
+	f.list(s, now)
+	f.changes(late, now)
+	return late.AsOf, nil
+}
+
+// report writes a line for each object that can't be used.
+func (f *follower[T]) report(findings []error) {
+	for _, err := range findings {
+		klog.ErrorS(err, "Stored object left out", "Kind", f.name)
+	}
+}
+
 // fails notes that a call failed and asks a member of another zone: all of this one
 // may have lost the store while others reach it.
 func (f *follower[T]) fails(err error) {
--- a/internal/standin/metadata/store.go
+++ b/internal/standin/metadata/store.go
@@ -24,6 +24,9 @@
 	Delay time.Duration
 	// Deaf makes watches hear nothing.
 	Deaf bool
+	// ServeOneOf refuses all but one of so many calls for want of a rate, if it is more
+	// than one. Stale reads don't count.
+	ServeOneOf int
 	// Only restricts the trouble to calls from these addresses, if there are any.
 	Only []netip.Addr
 }
@@ -39,6 +42,14 @@
 	changed   chan struct{}
 	trouble   Trouble
 	calls     int
+	// stale is what stale reads see, nil if they see all.
+	stale *copied
+}
+
+// copied is the store's content as it was.
+type copied struct {
+	objects  map[string]map[string]wire.Object
+	revision uint64
 }
 
 type storedEvent struct {
@@ -65,6 +76,16 @@
 	s.trouble = t
 }
 
+// Lag makes stale reads see the present content from now on, whatever changes.
+func (s *Store) Lag() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stale = &copied{objects: make(map[string]map[string]wire.Object), revision: s.revision}
+	for kind, objects := range s.objects {
+		s.stale.objects[kind] = maps.Clone(objects)
+	}
+}
+
 // Calls returns how often the store was called.
 func (s *Store) Calls() int {
 	s.mu.Lock()
@@ -135,18 +156,23 @@
 		w.WriteHeader(t.Status)
 		return
 	}
+	q := r.URL.Query()
+	stale := q.Has(wire.QueryStale)
+	if t.ServeOneOf > 1 && !stale && s.Calls()%t.ServeOneOf != 0 {
+		w.WriteHeader(http.StatusTooManyRequests)
+		return
+	}
 	time.Sleep(t.Delay)
 	kind, ok := strings.CutPrefix(r.URL.Path, wire.ObjectsPath)
 	if !ok || r.Method != http.MethodGet {
 		http.NotFound(w, r)
 		return
 	}
-	q := r.URL.Query()
 	if q.Has(wire.QueryWatch) {
 		s.watch(w, r, kind)
 		return
 	}
-	s.list(w, kind, q.Get(wire.QueryAfter))
+	s.list(w, kind, q.Get(wire.QueryAfter), stale)
 }
 
 func (s *Store) troubleFor(r *http.Request) Trouble {
@@ -164,10 +190,14 @@
 	return t
 }
 
-func (s *Store) list(w http.ResponseWriter, kind, after string) {
+func (s *Store) list(w http.ResponseWriter, kind, after string, stale bool) {
 	s.mu.Lock()
-	p := wire.Page{AsOf: s.revision}
-	for _, name := range slices.Sorted(maps.Keys(s.objects[kind])) {
+	from := &copied{objects: s.objects, revision: s.revision}
+	if stale && s.stale != nil {
+		from = s.stale
+	}
+	p := wire.Page{AsOf: from.revision}
+	for _, name := range slices.Sorted(maps.Keys(from.objects[kind])) {
 		if name <= after {
 			continue
 		}
@@ -175,7 +205,7 @@
 			p.HasMore = true
 			break
 		}
-		p.Items = append(p.Items, s.objects[kind][name])
+		p.Items = append(p.Items, from.objects[kind][name])
 	}
 	s.mu.Unlock()
 	answer(w, &p)
--- a/internal/version/objects/feed.go
+++ b/internal/version/objects/feed.go
@@ -19,6 +19,26 @@
 	Value             T
 }
 
+// Page is a part of a list.
+type Page[T any] struct {
+	Objects []Object[T]
+	AsOf    Revision
+	// Next is where the list goes on. It is empty on the last page.
+	Next string
+	// Findings name the objects that can't be used, which are left out, with the cause.
+	// One unusable entry must not hide all the others.
+	Findings []error
+}
+
+// ListOptions say which part of a list is wanted. The zero value is the first page of
+// a list that is as fresh as the store's last acknowledged write.
+type ListOptions struct {
+	// From is the Next of the page before.
+	From string
+	// Stale allows an answer that is some seconds old. It costs the store little.
+	Stale bool
+}
+
 // Snapshot is a whole kind as it was at one revision.
 type Snapshot[T any] struct {
 	Objects []Object[T]
@@ -37,6 +57,8 @@
 type Changes[T any] struct {
 	List []Change[T]
 	AsOf Revision
+	// Findings are as those of a Page.
+	Findings []error
 }
 
 // The outcomes that callers tell apart. Any other error says nothing of the
@@ -54,9 +76,9 @@
 // Feed reads one kind of objects. Implementations are safe for concurrent use
 // and return after the wait at the latest plus the time-out of one call.
 type Feed[T any] interface {
-	// List returns all objects, as fresh as the store's last acknowledged write.
-	List(ctx context.Context) (Snapshot[T], error)
+	// List returns a page of all objects.
+	List(ctx context.Context, o ListOptions) (Page[T], error)
 	// Watch returns what changed after a revision as soon as anything did, or
-	// nothing after the wait.
+	// nothing after the wait, which may be zero.
 	Watch(ctx context.Context, after Revision, wait time.Duration) (Changes[T], error)
 }
--- /dev/null
+++ b/internal/version/objects/listing_test.go
@@ -0,0 +1,52 @@
+package objects_test
+
+import (
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/fescueshed/fescueshed/internal/version/objects"
+)
+
+func page(asOf objects.Revision, next string, names ...string) objects.Page[int] {
+	p := objects.Page[int]{AsOf: asOf, Next: next}
+	for _, n := range names {
+		p.Objects = append(p.Objects, objects.Object[int]{Name: n})
+	}
+	return p
+}
+
+// A host that starts gets no list for half a minute: the store refuses a part of all
+// calls, a refusal of the last page throws the first ones away, and all hosts that
+// begin anew keep the store busy.
+func TestListingGoesOnWithThePageThatFailed(t *testing.T) {
+	g := NewWithT(t)
+	l := objects.NewListing[int](true)
+	g.Expect(l.Next()).To(Equal(objects.ListOptions{Stale: true}))
+	l.Add(page(9, "b", "a", "b"))
+	g.Expect(l.Done()).To(BeFalse())
+	g.Expect(l.Next()).To(Equal(objects.ListOptions{From: "b", Stale: true}))
+	g.Expect(l.Next()).To(Equal(objects.ListOptions{From: "b", Stale: true}), "the call failed, nothing was added")
+	l.Add(page(9, "", "c"))
+	g.Expect(l.Done()).To(BeTrue())
+	g.Expect(l.Snapshot().Objects).To(HaveLen(3))
+}
+
+// Pages come from copies of the store that lag by different times. A watch from a
+// later revision than that of the oldest page never tells what this page lacks: an
+// upstream that drains would get flows until it is gone.
+func TestListingIsAsOldAsItsOldestPage(t *testing.T) {
+	for name, pages := range map[string][]objects.Page[int]{
+		"the first is oldest": {page(5, "a", "a"), page(9, "", "b")},
+		"the last is oldest":  {page(9, "a", "a"), page(5, "", "b")},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			l := objects.NewListing[int](true)
+			for _, p := range pages {
+				l.Add(p)
+			}
+			g.Expect(l.Snapshot().AsOf).To(Equal(objects.Revision(5)))
+		})
+	}
+}
--- a/internal/version/registry/catalog.go
+++ b/internal/version/registry/catalog.go
@@ -1,13 +1,10 @@
 package registry
 
 import (
-	"encoding/binary"
 	"maps"
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/fescueshed/fescueshed/internal/version/bundle"
 	"github.com/fescueshed/fescueshed/internal/version/objects"
 )
@@ -18,6 +15,8 @@
 	// AsOf is the revision up to which every change is known.
 	AsOf    objects.Revision
 	entries map[bundle.UpstreamID]Registration
+	// digest is the sum over entries, see Digest.
+	digest uint64
 	// vanished are upstreams that the store no longer has but that are still used,
 	// with the time until which they are.
 	vanished map[bundle.UpstreamID]kept
@@ -171,6 +170,10 @@
 		if known && old.Revision >= ch.Revision {
 			return false
 		}
+		if known {
+			c.digest -= old.digest()
+		}
+		c.digest += ch.digest()
 		c.entries[ch.ID] = ch.Registration
 		c.note(ch, asOf, now)
 		return true
@@ -178,6 +181,7 @@
 	if !known {
 		return false
 	}
+	c.digest -= old.digest()
 	delete(c.entries, ch.ID)
 	c.note(Change{Registration: old, Gone: true}, asOf, now)
 	if !old.Draining && now.Before(c.doubtUntil) {
@@ -239,16 +243,7 @@
 // Digest is a sum over the store's entries and their revisions. Two catalogs with
 // one digest hold the same, so a member sees without the list whether it lacks
 // something. Vanished entries don't count: daemons may doubt for different times.
-func (c *Catalog) Digest() uint64 {
-	var sum uint64
-	var b [16]byte
-	for id, r := range c.entries {
-		binary.BigEndian.PutUint64(b[:8], uint64(id))
-		binary.BigEndian.PutUint64(b[8:], uint64(r.Revision))
-		sum += xxhash.Sum64(b[:])
-	}
-	return sum
-}
+func (c *Catalog) Digest() uint64 { return c.digest }
 
 // List returns the store's registrations in the order of their identifiers.
 func (c *Catalog) List() []Registration {
--- a/internal/version/registry/registration.go
+++ b/internal/version/registry/registration.go
@@ -4,9 +4,11 @@
 package registry
 
 import (
+	"encoding/binary"
 	"net/netip"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/rotisserie/eris"
 
 	"github.com/fescueshed/fescueshed/internal/version/bundle"
@@ -54,6 +56,14 @@
 	return nil
 }
 
+// digest is the entry's part of the digest of a list.
+func (r *Registration) digest() uint64 {
+	var b [16]byte
+	binary.BigEndian.PutUint64(b[:8], uint64(r.ID))
+	binary.BigEndian.PutUint64(b[8:], uint64(r.Revision))
+	return xxhash.Sum64(b[:])
+}
+
 // Change is a registration that came, changed or went.
 type Change struct {
 	_ struct{} `cbor:",toarray"`
