peer: in a large zone two trees pass on what its reader tells

Cause: a zone's reader sent each news and each sum of loads to every member: at 300 hosts the busiest sent 2.3 MB/s with callers' packets, and it grows with the zone. In a larger one each member tells eight others in each of two trees; who has children in one has none in the other, so one member that stands still hides the word from nobody. Reports go up one of them, summed on the way. A zone's reader that hears another zone passes it on when it hears it, not by its own clock too.

--- a/internal/connection/peer/news.go
+++ b/internal/connection/peer/news.go
@@ -13,7 +13,9 @@
 // carries the latest changes, so that a member that heard the one before needs
 // nothing else.
 type News struct {
-	_    struct{} `cbor:",toarray"`
+	_ struct{} `cbor:",toarray"`
+	// From is the daemon that read the store, or that told its zone what it heard from
+	// another. Members of a large zone pass its news on.
 	From ID
 	// Age is how long ago the store last confirmed all of this.
 	Age time.Duration
@@ -91,8 +93,9 @@
 	Requests uint32
 }
 
-// Report is what a member tells the daemon that reads the store for its zone, and,
-// summed up over all members, what that one tells the members.
+// Report is what a member tells its parent, with what its children told it, up to the
+// daemon that reads the store for its zone, and, summed up over all members, what that
+// one tells them.
 type Report struct {
 	_    struct{} `cbor:",toarray"`
 	From ID
@@ -108,6 +111,8 @@
 	// Zones are the loads of whole zones: of the sender's own if it reads the store
 	// for its zone and tells that of another, of all if it tells its members.
 	Zones []ZoneLoad
+	// Stamp grows with each report of a daemon that others pass on.
+	Stamp uint64
 }
 
 // Check implements the check of a wire type.
--- a/internal/connection/peer/reader.go
+++ b/internal/connection/peer/reader.go
@@ -57,18 +57,30 @@
 
 // ZoneMembers returns the other members of this daemon's zone, first readers first.
 func (v *View) ZoneMembers() []*Member {
-	self := v.byID[v.Self]
-	if self == nil {
+	zone := v.readers()
+	place := slices.IndexFunc(zone, func(m *Member) bool { return m.ID == v.Self })
+	if place < 0 {
 		return nil
 	}
-	var out []*Member
-	for i := range v.Members {
-		if m := &v.Members[i]; m.Zone == self.Zone && m.ID != v.Self {
-			out = append(out, m)
+	return without(zone, place)
+}
+
+// readers returns all members of this daemon's zone, first readers first. It is nil if
+// the daemon itself isn't a member.
+func (v *View) readers() []*Member {
+	v.zoneOnce.Do(func() {
+		self := v.byID[v.Self]
+		if self == nil {
+			return
 		}
-	}
-	slices.SortFunc(out, compareReaders)
-	return out
+		for i := range v.Members {
+			if m := &v.Members[i]; m.Zone == self.Zone {
+				v.zone = append(v.zone, m)
+			}
+		}
+		slices.SortFunc(v.zone, compareReaders)
+	})
+	return v.zone
 }
 
 // OtherReaders returns the first reader of each other zone.
--- a/internal/connection/peer/view.go
+++ b/internal/connection/peer/view.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"net/netip"
 	"slices"
+	"sync"
 
 	"github.com/fescueshed/fescueshed/internal/connection/geneve"
 	"github.com/fescueshed/fescueshed/internal/version/bundle"
@@ -32,6 +33,9 @@
 	scores []uint64
 	byID   map[ID]*Member
 	byAddr map[netip.Addr]*Member
+	// zone is made when it is first asked for, see readers.
+	zoneOnce sync.Once
+	zone     []*Member
 }
 
 // Changes is what happened to the members lately.
--- a/internal/process/carrier/carrier.go
+++ b/internal/process/carrier/carrier.go
@@ -72,6 +72,10 @@
 	catalog *registry.Catalog
 	reading peer.Reading
 	current *bundle.Bundle
+	// origin is the daemon whose news were heard last, passed the last news that this
+	// daemon passed on.
+	origin peer.ID
+	passed word
 	// lacksWhole is set if changes of another daemon didn't lead to its list.
 	lacksWhole bool
 	// confirmedBundle and confirmedList are as of when the store's content is known.
@@ -167,6 +171,7 @@
 	c.mu.Unlock()
 	c.members.tellLoads(now)
 	c.members.tellNews(now)
+	c.members.passed.forget(now)
 }
 
 // Leave serves on until routers have stopped sending packets here.
--- a/internal/process/carrier/loads.go
+++ b/internal/process/carrier/loads.go
@@ -14,10 +14,10 @@
 	"github.com/fescueshed/fescueshed/internal/version/bundle"
 )
 
-// zoneLoads sums up what the members of the zone count at upstreams. Only the
-// daemon that reads the store for the zone uses it: each member sends one report
-// to it and gets one sum, so the cost of a member doesn't grow with their number.
-// It is safe for concurrent use.
+// zoneLoads sums up what this daemon and its children count at upstreams, which at the
+// zone's reader is the whole zone. Each member sends one report to its parent and gets
+// one sum, so the cost of a member doesn't grow with their number. It is safe for
+// concurrent use.
 type zoneLoads struct {
 	mu   sync.Mutex
 	told map[peer.ID]toldLoads
@@ -73,7 +73,7 @@
 func (z *zoneLoads) sum(self peer.ID, now time.Time) *peer.Report {
 	z.mu.Lock()
 	defer z.mu.Unlock()
-	out := &peer.Report{From: self, Sum: true}
+	out := &peer.Report{From: self}
 	loads := make(map[bundle.UpstreamID]peer.Load)
 	services := make(map[string]peer.ServiceLoad)
 	for id, t := range z.told {
@@ -133,21 +133,19 @@
 	}
 }
 
-// tellLoads sends this daemon's report to the first reader of the zone, or the sum
-// to all if that is this daemon, and the zone's load to the readers of others.
+// tellLoads sends what this daemon and its children count to its parent, or the sum to
+// all if it reads for the zone, and the zone's load to the readers of others.
 func (m *members) tellLoads(now time.Time) {
 	v := m.view.Load()
-	zone := v.ZoneMembers()
-	r := m.c.ownReport(v.Self)
-	if !v.ZoneReader() {
-		send(m, protocolReport, m.reports, r, zone[:1])
+	m.loads.put(m.c.ownReport(v.Self), now)
+	sum := m.loads.sum(v.Self, now)
+	if p := v.Parent(); p != nil {
+		send(m, protocolReport, m.reports, sum, []*peer.Member{p})
 		return
 	}
-	m.loads.put(r, now)
-	sum := m.loads.sum(v.Self, now)
-	sum.Zones = m.loads.zones(now)
+	sum.Sum, sum.Zones, sum.Stamp = true, m.loads.zones(now), m.stamp.Add(1)
 	m.c.takeLoads(sum, now)
-	send(m, protocolReport, m.reports, sum, zone)
+	send(m, protocolReport, m.reports, sum, v.Children(peer.TreeForward, true))
 	own := &peer.Report{From: v.Self, Zones: m.c.ownZone()}
 	send(m, protocolReport, m.reports, own, v.OtherReaders())
 }
@@ -160,18 +158,30 @@
 }
 
 func (m *members) heardReport(r *peer.Report, now time.Time) {
+	v := m.view.Load()
 	switch {
 	case r.Found:
 		m.c.hint(r.Dead, now)
+		m.passOn(r, v.Audience(false), now)
 	case r.Sum:
 		m.c.takeLoads(r, now)
+		m.passOn(r, v.Children(peer.TreeForward, false), now)
 	case len(r.Zones) > 0:
 		m.loads.putZone(r, now)
-	default:
+	case !v.ReadsBefore(r.From):
+		// One that stands before this daemon can't be its child: they differ for a
+		// moment in who leaves, and each would count what the other counted.
 		m.loads.put(r, now)
 	}
 }
 
+// passOn sends a report on to this daemon's children, once.
+func (m *members) passOn(r *peer.Report, to []*peer.Member, now time.Time) {
+	if len(to) > 0 && m.passed.first(r.From, r.Stamp, now) {
+		send(m, protocolReport, m.reports, r, to)
+	}
+}
+
 // takeLoads takes in the zone's sum: what is more than this daemon's own flows is
 // with the others.
 func (c *Carrier) takeLoads(r *peer.Report, now time.Time) {
@@ -200,8 +210,8 @@
 // would find out by requests that fail.
 func (m *members) tellFound(id bundle.UpstreamID) {
 	v := m.view.Load()
-	r := &peer.Report{From: v.Self, Found: true, Dead: []bundle.UpstreamID{id}}
-	send(m, protocolReport, m.reports, r, v.ZoneMembers())
+	r := &peer.Report{From: v.Self, Found: true, Dead: []bundle.UpstreamID{id}, Stamp: m.stamp.Add(1)}
+	send(m, protocolReport, m.reports, r, v.Audience(true))
 }
 
 // hint has upstreams looked at that another daemon found dead.
--- a/internal/process/carrier/members.go
+++ b/internal/process/carrier/members.go
@@ -37,6 +37,9 @@
 	catalog *peer.Codec[peer.Catalog, *peer.Catalog]
 	loads   *zoneLoads
 	wg      sync.WaitGroup
+	// stamp is that of the last report which others pass on, passed are those of theirs.
+	stamp  atomic.Uint64
+	passed *stamps
 
 	// view is what is known of the members.
 	view atomic.Pointer[peer.View]
@@ -70,8 +73,9 @@
 func (c *Carrier) startMembers(ctx context.Context) (func(), error) {
 	cfg := c.cfg.Load()
 	m := &members{
-		c: c, loads: newZoneLoads(), asked: make(chan struct{}), telling: make(chan struct{}, maxTold),
+		c: c, loads: newZoneLoads(), passed: newStamps(), asked: make(chan struct{}), telling: make(chan struct{}, maxTold),
 	}
+	m.stamp.Store(uint64(c.started.UnixNano()))
 	if err := m.newCodecs(secret(cfg)); err != nil {
 		return nil, err
 	}
--- a/internal/process/carrier/news.go
+++ b/internal/process/carrier/news.go
@@ -35,21 +35,59 @@
 	codeBusy = 1
 )
 
-// tellNews tells others what this daemon knows of the store, if that is fresh: one
-// that reads tells its zone and the readers of other zones, a zone's reader that heard
-// it from another tells its zone.
+// tellNews tells the zone and the readers of other zones what this daemon knows of the
+// store, if it is one that reads.
 func (m *members) tellNews(now time.Time) {
 	v := m.view.Load()
+	m.c.mu.Lock()
+	reads := m.c.reading.Reads(v.ReaderRank(), now)
+	m.c.mu.Unlock()
+	if reads {
+		m.sendNews(v.Self, append(v.Audience(true), v.OtherReaders()...), now)
+	}
+}
+
+// passNews passes on what another daemon told: a zone's reader tells its zone what
+// another zone's told, and in a large zone each member tells its children, once.
+func (m *members) passNews(origin peer.ID, now time.Time) {
+	v := m.view.Load()
+	if v.ZoneReader() {
+		// One of the own zone stands in for this daemon and has told the others.
+		if o := v.Member(origin); o != nil && o.Zone != m.c.cfg.Load().Zone {
+			m.sendNews(v.Self, v.Audience(true), now)
+		}
+		return
+	}
+	if to := v.Audience(false); origin != 0 && len(to) > 0 && m.c.passesOn() {
+		m.sendNews(origin, to, now)
+	}
+}
+
+// passesOn reports whether this daemon knows more than it passed on before, and notes
+// what it knows as passed on.
+func (c *Carrier) passesOn() bool {
+	version := c.inForce.Version()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	w := word{bundle: version, asOf: c.catalog.AsOf, digest: c.catalog.Digest(), as: c.confirmed()}
+	if !w.newer(c.passed) {
+		return false
+	}
+	c.passed = w
+	return true
+}
+
+// sendNews sends what this daemon knows, if that is fresh.
+func (m *members) sendNews(origin peer.ID, to []*peer.Member, now time.Time) {
 	c := m.c
 	c.mu.Lock()
 	as := c.confirmed()
-	reads := c.reading.Reads(v.ReaderRank(), now)
-	if !reads && !v.ZoneReader() || now.Sub(as) > staleNews {
+	if now.Sub(as) > staleNews {
 		c.mu.Unlock()
 		return
 	}
 	n := &peer.News{
-		From:    v.Self,
+		From:    origin,
 		Age:     now.Sub(as),
 		Doubt:   c.catalog.Doubt(now),
 		AsOf:    c.catalog.AsOf,
@@ -57,11 +95,8 @@
 		Changes: c.catalog.Recent(now.Add(-newsSpan), peer.MaxNewsChanges),
 	}
 	c.mu.Unlock()
+	// Read after the age, so that a version isn't called newer than it is known to be.
 	n.Bundle = c.inForce.Version()
-	to := v.ZoneMembers()
-	if reads {
-		to = append(to, v.OtherReaders()...)
-	}
 	send(m, protocolNews, m.news, n, to)
 }
 
@@ -70,10 +105,14 @@
 // heard.
 func (m *members) heardNews(from netip.AddrPort, n *peer.News, now time.Time) {
 	v := m.view.Load()
+	if n.From == v.Self {
+		return // This daemon's own word, which came back while others differ in who is there.
+	}
 	as := now.Add(-n.Age)
 	c := m.c
 	version := c.inForce.Version()
 	c.mu.Lock()
+	c.origin = n.From
 	c.catalog.DoubtFor(n.Doubt, now)
 	if c.catalog.Hear(n.Changes, n.AsOf, n.Digest, now) {
 		c.engine.SetUpstreams(c.catalog.InUse(), now)
@@ -91,9 +130,7 @@
 		m.pull(from, lacksBundle)
 		return
 	}
-	if o := v.Member(n.From); o != nil && o.Zone != c.cfg.Load().Zone {
-		m.tellNews(now) // This daemon is its zone's reader.
-	}
+	m.passNews(n.From, now)
 }
 
 // pull fetches everything from another daemon, one at a time. A list that differs
@@ -146,6 +183,10 @@
 	}
 	c.takeCatalog(got, sent.Add(-got.Age), now)
 	m.tellNews(now)
+	c.mu.Lock()
+	origin := c.origin
+	c.mu.Unlock()
+	m.passNews(origin, now)
 	return nil
 }
 
--- /dev/null
+++ b/internal/process/carrier/relay.go
@@ -0,0 +1,71 @@
+package carrier
+
+import (
+	"sync"
+	"time"
+
+	"github.com/fescueshed/fescueshed/internal/connection/peer"
+	"github.com/fescueshed/fescueshed/internal/version/bundle"
+	"github.com/fescueshed/fescueshed/internal/version/objects"
+)
+
+// stamps tells reports that were passed on already from new ones, so that a report that
+// comes by both trees, or goes round while daemons differ in who is there, is passed on
+// once. It is safe for concurrent use.
+type stamps struct {
+	mu   sync.Mutex
+	last map[peer.ID]stamped
+}
+
+type stamped struct {
+	stamp uint64
+	at    time.Time
+}
+
+// stampFor is how long a stamp counts. A daemon that starts again with a clock that
+// jumped back begins with lower stamps; its reports are passed on again after this.
+const stampFor = 2 * time.Second
+
+func newStamps() *stamps { return &stamps{last: make(map[peer.ID]stamped)} }
+
+// first reports whether a report wasn't seen before, and notes it.
+func (s *stamps) first(from peer.ID, stamp uint64, now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if old, ok := s.last[from]; ok && stamp <= old.stamp && now.Sub(old.at) < stampFor {
+		return false
+	}
+	s.last[from] = stamped{stamp: stamp, at: now}
+	return true
+}
+
+// forget drops what no longer counts.
+func (s *stamps) forget(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for id, l := range s.last {
+		if now.Sub(l.at) >= stampFor {
+			delete(s.last, id)
+		}
+	}
+}
+
+// word is what news say, to tell new ones from those that came by the other tree.
+type word struct {
+	bundle bundle.Version
+	asOf   objects.Revision
+	digest uint64
+	// as is when the store last confirmed it.
+	as time.Time
+}
+
+// sameFor is by how much the age of one word differs by the ways that it took.
+const sameFor = 100 * time.Millisecond
+
+// newer reports whether w says more than what was passed on before.
+func (w word) newer(than word) bool {
+	if w.bundle != than.bundle || w.asOf != than.asOf || w.digest != than.digest {
+		return true
+	}
+	return w.as.Sub(than.as) > sameFor
+}
