carrier: daemons find each other by an object in the store if their seeds are gone

Cause: seeds name three hosts of the time when the settings were made, and may be out of date. A host whose seeds are all gone served alone: it read the store itself, knew nobody's load, and had nobody to ask in an outage. Weighed: an object for each member costs a write at each start and somebody who cleans up after those that died; one object, replaced by the reader when a zone has no member in it any more, costs two calls at the start and one at each change of the reader. Test: a host whose seeds name nobody finds the others.

--- a/cmd/fescueshed/cookie.go
+++ b/cmd/fescueshed/cookie.go
@@ -55,6 +55,7 @@
 		Store:         store,
 		Bundles:       platform.NewBundles(store),
 		Registrations: platform.NewRegistrations(store),
+		Contacts:      platform.NewContacts(store),
 		Readiness:     platform.NewReadiness,
 		HealthID:      platform.HealthID,
 	})
--- a/internal/process/carrier/carrier.go
+++ b/internal/process/carrier/carrier.go
@@ -29,6 +29,8 @@
 	Store         *objects.Caller
 	Bundles       objects.Feed[bundle.Accepted]
 	Registrations objects.Feed[registry.Registration]
+	// Contacts is the object by which daemons find each other.
+	Contacts objects.Cell[peer.Contacts]
 	// Readiness makes the handler that routers ask.
 	Readiness func(ready func() bool) http.Handler
 	// HealthID reads from a health answer which upstream gave it, zero if unknown.
@@ -100,7 +102,7 @@
 	})
 	c.cfg.Store(cfg)
 	cleanup, err := steps.Run(ctx,
-		c.startData, c.startProbes, c.startMembers, c.startStore, c.startReadiness, c.startMetrics, c.startTimer)
+		c.startData, c.startProbes, c.startMembers, c.startStore, c.startContacts, c.startReadiness, c.startMetrics, c.startTimer)
 	if err != nil {
 		return nil, nil, err
 	}
--- a/internal/process/carrier/carrier_test.go
+++ b/internal/process/carrier/carrier_test.go
@@ -52,6 +52,7 @@
 		Store:         store,
 		Bundles:       platform.NewBundles(store),
 		Registrations: platform.NewRegistrations(store),
+		Contacts:      platform.NewContacts(store),
 		Readiness:     platform.NewReadiness,
 		HealthID:      platform.HealthID,
 	})
@@ -202,6 +203,20 @@
 		Eventually(n.Upstreams, patience).Should(Equal(13))
 	})
 
+	// All hosts of the settings' time were replaced, so the seeds of a new host name
+	// nobody. It would serve alone: read the store itself, know nobody's load, and hear
+	// of nothing while the store is away.
+	It("find each other though no seed is there any more", func() {
+		w := newWorld(3)
+		startAll(w)
+		time.Sleep(carrier.JoinedAfter) // Then the reader keeps the contacts.
+		h, err := w.AddHost(context.Background())
+		Expect(err).NotTo(HaveOccurred())
+		h.Seeds = []netip.AddrPort{netip.MustParseAddrPort("127.0.9.9:9")}
+		n := startNode(w, h)
+		Eventually(n.Members, patience).Should(Equal(4))
+	})
+
 	// A host starts while the store is away. When it is ready, it forwards first
 	// packets that waited in its socket, though their callers have opened the flows
 	// through other hosts meanwhile: a second upstream answers, and the flows break.
--- a/internal/standin/metadata/store.go
+++ b/internal/standin/metadata/store.go
@@ -101,12 +101,16 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.put(kind, name, b)
+}
+
+func (s *Store) put(kind, name string, spec json.RawMessage) {
 	s.revision++
 	o, ok := s.objects[kind][name]
 	if !ok {
 		o.Meta = wire.Meta{Name: name, Created: s.revision}
 	}
-	o.Meta.Revision, o.Spec = s.revision, b
+	o.Meta.Revision, o.Spec = s.revision, spec
 	if s.objects[kind] == nil {
 		s.objects[kind] = make(map[string]wire.Object)
 	}
@@ -163,10 +167,18 @@
 		return
 	}
 	time.Sleep(t.Delay)
-	kind, ok := strings.CutPrefix(r.URL.Path, wire.ObjectsPath)
-	if !ok || r.Method != http.MethodGet {
+	path, ok := strings.CutPrefix(r.URL.Path, wire.ObjectsPath)
+	kind, name, named := strings.Cut(path, "/")
+	switch {
+	case !ok:
 		http.NotFound(w, r)
 		return
+	case r.Method == http.MethodPost, r.Method == http.MethodPut:
+		s.write(w, r, kind)
+		return
+	case named:
+		s.get(w, kind, name)
+		return
 	}
 	if q.Has(wire.QueryWatch) {
 		s.watch(w, r, kind)
@@ -190,6 +202,37 @@
 	return t
 }
 
+// write creates an object or replaces one under a condition.
+func (s *Store) write(w http.ResponseWriter, r *http.Request, kind string) {
+	var in wire.Written
+	if err := json.NewDecoder(r.Body).Decode(&in); err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	o, exists := s.objects[kind][in.Meta.Name]
+	switch {
+	case exists && o.Meta.Revision != in.Meta.Revision:
+		w.WriteHeader(http.StatusConflict)
+	case !exists && r.Method == http.MethodPut:
+		w.WriteHeader(http.StatusNotFound)
+	default:
+		s.put(kind, in.Meta.Name, in.Spec)
+	}
+}
+
+func (s *Store) get(w http.ResponseWriter, kind, name string) {
+	s.mu.Lock()
+	o, ok := s.objects[kind][name]
+	s.mu.Unlock()
+	if !ok {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	answer(w, &o)
+}
+
 func (s *Store) list(w http.ResponseWriter, kind, after string, stale bool) {
 	s.mu.Lock()
 	from := &copied{objects: s.objects, revision: s.revision}
@@ -261,7 +304,7 @@
 	return p, false, s.changed
 }
 
-func answer(w http.ResponseWriter, p *wire.Page) {
+func answer[T any](w http.ResponseWriter, p *T) {
 	w.Header().Set("Content-Type", "application/json")
 	if err := json.NewEncoder(w).Encode(p); err != nil {
 		panic(http.ErrAbortHandler) // The caller went away.
--- a/internal/standin/world/world.go
+++ b/internal/standin/world/world.go
@@ -86,6 +86,8 @@
 	Zone  string
 	IP    netip.Addr
 	Proxy *Proxy
+	// Seeds replace the world's first hosts in the settings, if there are any.
+	Seeds []netip.AddrPort
 	route *flows.Host
 }
 
@@ -168,27 +170,39 @@
 }
 
 func (w *World) startHosts(ctx context.Context) error {
-	var routed []*flows.Host
-	for i := range w.opts.Hosts {
-		ip := netip.AddrFrom4([4]byte{127, 0, byte(1 + i%zones), byte(1 + i/zones)})
-		h := &Host{Name: fmt.Sprintf("host-%d", i+1), Zone: zoneName(i % zones), IP: ip}
-		p, stop, err := NewProxy(ctx, netip.AddrPortFrom(ip, w.ports.Proxy), w.storeAt())
-		if err != nil {
+	for range w.opts.Hosts {
+		if _, err := w.AddHost(ctx); err != nil {
 			return err
 		}
-		w.cleanup = append(w.cleanup, stop)
-		h.Proxy = p
-		h.route = &flows.Host{
-			Data:  netip.AddrPortFrom(ip, w.ports.Data),
-			Ready: metadata.ReadinessURL(netip.AddrPortFrom(ip, w.ports.Ready)),
-		}
+	}
+	routed := make([]*flows.Host, 0, len(w.Hosts))
+	for _, h := range w.Hosts {
 		routed = append(routed, h.route)
-		w.Hosts = append(w.Hosts, h)
 	}
 	w.Router = flows.NewRouter(ctx, routed)
 	return nil
 }
 
+// AddHost makes a host with a proxy to the store. Routers know those that were there at
+// the start only.
+func (w *World) AddHost(ctx context.Context) (*Host, error) {
+	i := len(w.Hosts)
+	ip := netip.AddrFrom4([4]byte{127, 0, byte(1 + i%zones), byte(1 + i/zones)})
+	h := &Host{Name: fmt.Sprintf("host-%d", i+1), Zone: zoneName(i % zones), IP: ip}
+	p, stop, err := NewProxy(ctx, netip.AddrPortFrom(ip, w.ports.Proxy), w.storeAt())
+	if err != nil {
+		return nil, err
+	}
+	w.cleanup = append(w.cleanup, stop)
+	h.Proxy = p
+	h.route = &flows.Host{
+		Data:  netip.AddrPortFrom(ip, w.ports.Data),
+		Ready: metadata.ReadinessURL(netip.AddrPortFrom(ip, w.ports.Ready)),
+	}
+	w.Hosts = append(w.Hosts, h)
+	return h, nil
+}
+
 func zoneName(i int) string { return "zone-" + strconv.Itoa(i+1) }
 
 func (w *World) startServers(context.Context) error {
@@ -266,9 +280,15 @@
 
 // Settings returns the settings file of a host's daemon.
 func (w *World) Settings(h *Host) string {
-	seeds := ""
+	named := h.Seeds
 	for i := range min(zones, len(w.Hosts)) {
-		seeds += fmt.Sprintf("%q,", netip.AddrPortFrom(w.Hosts[i].IP, w.ports.Control))
+		if len(h.Seeds) == 0 {
+			named = append(named, netip.AddrPortFrom(w.Hosts[i].IP, w.ports.Control))
+		}
+	}
+	seeds := ""
+	for _, at := range named {
+		seeds += fmt.Sprintf("%q,", at)
 	}
 	at := func(port uint16) string { return strconv.Quote(netip.AddrPortFrom(h.IP, port).String()) }
 	return fmt.Sprintf(`{
--- /dev/null
+++ b/internal/version/objects/cell.go
@@ -0,0 +1,14 @@
+package objects
+
+import "context"
+
+// Cell is one object of the system's own that daemons read, and replace under a
+// condition. Implementations are safe for concurrent use.
+type Cell[T any] interface {
+	// Get returns the object, or ErrNotFound if there is none.
+	Get(ctx context.Context) (Object[T], error)
+	// Put replaces the object if its revision is still the given one; zero creates it.
+	// It returns ErrConflict if another has written meanwhile. After any other error
+	// the write may have taken effect, or may still.
+	Put(ctx context.Context, v T, at Revision) error
+}
