soak: links between daemons and to upstreams are cut, one way, both ways, by zones

Cause: the soak broke the links to the store and from the routers only. Change: a relay with a port for each sender stands before each daemon's control address and each upstream; cuts of hosts, zones and upstreams may overlap. A daemon takes an announced address for it, which serves behind address translation too; who sent news is then asked by its announced address.

--- a/cmd/soak/fault.go
+++ b/cmd/soak/fault.go
@@ -38,6 +38,9 @@
 	{name: "store", weight: 3, inject: (*run).store},
 	{name: "forget history", weight: 1, inject: (*run).forget},
 	{name: "router cut", weight: 2, inject: (*run).routerCut},
+	{name: "peer cut", weight: 3, inject: (*run).peerCut},
+	{name: "zone cut", weight: 2, inject: (*run).zoneCut},
+	{name: "upstream cut", weight: 2, inject: (*run).upstreamCut},
 	{name: "bundle", weight: 4, planned: true, inject: func(r *run) string { r.w.Roll(); return "next version" }},
 	{name: "drain", weight: 3, planned: true, inject: (*run).drain},
 	{name: "crash", weight: 2, inject: func(r *run) string { return r.crash(false) }},
@@ -130,6 +133,32 @@
 	return fmt.Sprintf("packets to %s are lost for %v", h.Name, d)
 }
 
+// peerCut cuts a host off from the other hosts, both ways or one way.
+func (r *run) peerCut() string {
+	h, d := r.w.Hosts[r.host()], r.duration()
+	ways := []struct {
+		hears, heard bool
+		what         string
+	}{{what: "cut off from"}, {hears: true, what: "not heard by"}, {heard: true, what: "deaf to"}}
+	way := ways[r.rng.IntN(len(ways))]
+	r.w.CutPeers(h, way.hears, way.heard, d)
+	return fmt.Sprintf("%s is %s the others for %v", h.Name, way.what, d)
+}
+
+func (r *run) zoneCut() string {
+	h, d := r.w.Hosts[r.host()], r.duration()
+	r.w.CutZone(h.Zone, d)
+	return fmt.Sprintf("%s is cut off from the other zones for %v", h.Zone, d)
+}
+
+func (r *run) upstreamCut() string {
+	d := r.duration()
+	if !r.w.CutServer(d) {
+		return ""
+	}
+	return fmt.Sprintf("an upstream hears no host for %v", d)
+}
+
 func (r *run) drain() string {
 	if !r.w.DrainServer() {
 		return ""
--- a/internal/process/carrier/members.go
+++ b/internal/process/carrier/members.go
@@ -89,8 +89,8 @@
 		Name:        cfg.Name,
 		Zone:        cfg.Zone,
 		Data:        cfg.DataAddress,
-		Control:     cfg.ControlAddress,
-		RPC:         cfg.ControlAddress,
+		Control:     cfg.Announced(),
+		RPC:         cfg.Announced(),
 		Incarnation: peer.Incarnation(c.started.UnixMilli()),
 		Boot:        rand.Uint64(),
 		Size:        uint32(cfg.CPUShare * milliCores),
@@ -244,7 +244,7 @@
 	defer close(m.asked)
 	var seeds []netip.AddrPort
 	for _, s := range m.c.cfg.Load().Seeds {
-		if s != m.c.cfg.Load().ControlAddress {
+		if s != m.c.cfg.Load().Announced() {
 			seeds = append(seeds, s)
 		}
 	}
--- a/internal/process/carrier/news.go
+++ b/internal/process/carrier/news.go
@@ -127,12 +127,24 @@
 	}
 	c.mu.Unlock()
 	if lacksList || lacksBundle {
-		m.pull(from, lacksBundle)
+		m.pull(teller(v, from, n.From), lacksBundle)
 		return
 	}
 	m.passNews(n.From, now)
 }
 
+// teller returns where to ask the daemon that sent news. Behind address translation the
+// datagram doesn't show it; then the one that the news are from is asked.
+func teller(v *peer.View, from netip.AddrPort, origin peer.ID) netip.AddrPort {
+	if m := v.MemberAt(from.Addr()); m != nil {
+		return m.RPC
+	}
+	if m := v.Member(origin); m != nil {
+		return m.RPC
+	}
+	return from
+}
+
 // pull fetches everything from another daemon, one at a time. A list that differs
 // can wait longer than a new bundle: the store's readers differ for moments.
 func (m *members) pull(from netip.AddrPort, urgent bool) {
--- a/internal/process/settings/cookie.go
+++ b/internal/process/settings/cookie.go
@@ -21,6 +21,9 @@
 	ReadinessAddress netip.AddrPort
 	// ControlAddress takes messages of other daemons (UDP) and JSON-RPC 2.0 (TCP).
 	ControlAddress netip.AddrPort
+	// AnnouncedAddress is where other daemons reach ControlAddress, if that differs, as
+	// behind address translation.
+	AnnouncedAddress netip.AddrPort
 	// MetricsAddress serves metrics (HTTP).
 	MetricsAddress netip.AddrPort
 	// Store is the URL of the platform's object store.
@@ -86,6 +89,9 @@
 	}
 	checkAddress(f, "ReadinessAddress", s.ReadinessAddress)
 	checkAddress(f, "ControlAddress", s.ControlAddress)
+	if s.AnnouncedAddress.IsValid() {
+		checkAddress(f, "AnnouncedAddress", s.AnnouncedAddress)
+	}
 	checkAddress(f, "MetricsAddress", s.MetricsAddress)
 	if u, err := url.Parse(s.Store); err != nil || u.Host == "" {
 		f.Add("Store", "is %q, want a URL such as http://192.0.2.1:7080", s.Store)
@@ -121,6 +127,14 @@
 	return time.Duration(lingerPart * float64(s.Grace))
 }
 
+// Announced returns the control address that others are told.
+func (s *Cookie) Announced() netip.AddrPort {
+	if s.AnnouncedAddress.IsValid() {
+		return s.AnnouncedAddress
+	}
+	return s.ControlAddress
+}
+
 // Print returns the settings as JSON, the secret left out.
 func (s Cookie) Print() []byte {
 	s.Secret = nil
--- a/internal/standin/world/proxy.go
+++ b/internal/standin/world/proxy.go
@@ -43,20 +43,25 @@
 type Proxy struct {
 	l  net.Listener
 	to netip.AddrPort
+	// blocked says which callers are cut off now; it may be nil. What passes a cut is
+	// lost, so such a connection stays silent for good.
+	blocked func(from netip.Addr) bool
 
 	mu    sync.Mutex
 	fault LinkFault
 	conns map[net.Conn]struct{}
 }
 
-// NewProxy listens at an address and passes connections on to another. The clean-up
-// function ends all.
-func NewProxy(ctx context.Context, at, to netip.AddrPort) (*Proxy, func(), error) {
+// NewProxy listens at an address and passes connections on to another. blocked says
+// which callers are cut off now; it may be nil. The clean-up function ends all.
+func NewProxy(
+	ctx context.Context, at, to netip.AddrPort, blocked func(from netip.Addr) bool,
+) (*Proxy, func(), error) {
 	l, err := listen(ctx, at)
 	if err != nil {
 		return nil, nil, eris.Wrap(err, "proxy")
 	}
-	p := &Proxy{l: l, to: to, conns: make(map[net.Conn]struct{})}
+	p := &Proxy{l: l, to: to, blocked: blocked, conns: make(map[net.Conn]struct{})}
 	go p.run()
 	return p, func() {
 		_ = l.Close()
@@ -88,19 +93,31 @@
 	}
 }
 
-func (p *Proxy) get() LinkFault {
+func (p *Proxy) get(from netip.Addr) LinkFault {
+	if p.blocked != nil && p.blocked(from) {
+		return LinkSilent
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.fault
 }
 
+// caller returns the address of who opened a connection.
+func caller(c net.Conn) netip.Addr {
+	at, ok := c.RemoteAddr().(*net.TCPAddr)
+	if !ok {
+		return netip.Addr{}
+	}
+	return at.AddrPort().Addr().Unmap()
+}
+
 func (p *Proxy) run() {
 	for {
 		c, err := p.l.Accept()
 		if err != nil {
 			return // The proxy was closed.
 		}
-		if p.get() == LinkReset {
+		if p.get(caller(c)) == LinkReset {
 			_ = c.Close()
 			continue
 		}
@@ -117,8 +134,8 @@
 	}
 	defer p.keep(up)()
 	done := make(chan struct{}, 2)
-	go p.copy(up, c, false, done)
-	go p.copy(c, up, true, done)
+	go p.copy(up, c, caller(c), false, done)
+	go p.copy(c, up, caller(c), true, done)
 	<-done
 }
 
@@ -137,7 +154,7 @@
 
 // copy passes bytes on. A connection that met silence stays silent for good, as one
 // does that something on the way lost track of.
-func (p *Proxy) copy(dst io.Writer, src io.Reader, answers bool, done chan<- struct{}) {
+func (p *Proxy) copy(dst io.Writer, src io.Reader, from netip.Addr, answers bool, done chan<- struct{}) {
 	defer func() { done <- struct{}{} }()
 	buf := make([]byte, proxyBuffer)
 	silent := false
@@ -146,7 +163,7 @@
 		if err != nil {
 			return
 		}
-		f := p.get()
+		f := p.get(from)
 		silent = silent || f == LinkSilent || f == LinkDeaf && answers
 		if silent {
 			continue
--- a/internal/standin/world/servers.go
+++ b/internal/standin/world/servers.go
@@ -100,7 +100,11 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	s := w.find(c)
-	return s == nil || !s.Alive() || !s.crashing.IsZero() || s.Reset(caller)
+	if s == nil || !s.Alive() || !s.crashing.IsZero() || s.Reset(caller) {
+		return true
+	}
+	// What a cut breaks is noticed for a while after it.
+	return time.Since(s.harmed) < settleAfter
 }
 
 // Serves implements the rule for the switching route: a flow goes to the service
--- a/internal/standin/world/world.go
+++ b/internal/standin/world/world.go
@@ -26,6 +26,10 @@
 const (
 	zones          = 3
 	slotsPerServer = 4
+	// serverNet and linkNet are the second byte of the addresses of upstreams and of
+	// the relays before them.
+	serverNet      = 2
+	linkNet        = 3
 	connections    = 2000
 	idleTimeout    = 15 * time.Second
 	maxVersionStep = 5
@@ -50,6 +54,8 @@
 // Ports are those of one world, the same on all hosts.
 type Ports struct {
 	Data, Ready, Control, Metrics, Store, Proxy uint16
+	// Peers is where daemons are reached by others, through a relay.
+	Peers uint16
 }
 
 // Options are the settings of a World.
@@ -67,6 +73,7 @@
 	Store   *metadata.Store
 	Router  *flows.Router
 	Hosts   []*Host
+	cuts    *cuts
 	cleanup []func()
 
 	mu        sync.Mutex
@@ -94,7 +101,10 @@
 // Server is an upstream with its entry in the store.
 type Server struct {
 	*flows.Upstream
-	end      func()
+	end func()
+	// at is where it is reached, through a relay.
+	at       netip.AddrPort
+	harmed   time.Time
 	drained  time.Time
 	crashed  bool
 	crashing time.Time
@@ -115,7 +125,10 @@
 
 // New starts the stand-ins. The clean-up function ends them.
 func New(ctx context.Context, o Options) (*World, func(), error) {
-	w := &World{opts: o, Store: metadata.NewStore(), rng: rand.New(rand.NewPCG(o.Seed, o.Seed)), lastRoute: ServiceFeed}
+	w := &World{
+		opts: o, Store: metadata.NewStore(), cuts: newCuts(),
+		rng: rand.New(rand.NewPCG(o.Seed, o.Seed)), lastRoute: ServiceFeed,
+	}
 	ctx, cancel := context.WithCancel(ctx)
 	w.cleanup = append(w.cleanup, cancel)
 	for _, step := range []func(context.Context) error{w.findPorts, w.startStore, w.startHosts, w.startServers} {
@@ -141,7 +154,7 @@
 // findPorts takes ports that are free on the first address of the loopback range.
 func (w *World) findPorts(ctx context.Context) error {
 	var found []uint16
-	for range 6 {
+	for range 7 {
 		l, err := listen(ctx, netip.MustParseAddrPort("127.0.0.1:0"))
 		if err != nil {
 			return eris.Wrap(err, "world: ports")
@@ -149,7 +162,9 @@
 		defer func() { _ = l.Close() }()
 		found = append(found, uint16(l.Addr().(*net.TCPAddr).Port))
 	}
-	w.ports = Ports{Data: found[0], Ready: found[1], Control: found[2], Metrics: found[3], Store: found[4], Proxy: found[5]}
+	w.ports = Ports{
+		Data: found[0], Ready: found[1], Control: found[2], Metrics: found[3], Store: found[4], Proxy: found[5], Peers: found[6],
+	}
 	return nil
 }
 
@@ -189,12 +204,20 @@
 	i := len(w.Hosts)
 	ip := netip.AddrFrom4([4]byte{127, 0, byte(1 + i%zones), byte(1 + i/zones)})
 	h := &Host{Name: fmt.Sprintf("host-%d", i+1), Zone: zoneName(i % zones), IP: ip}
-	p, stop, err := NewProxy(ctx, netip.AddrPortFrom(ip, w.ports.Proxy), w.storeAt())
+	p, stop, err := NewProxy(ctx, netip.AddrPortFrom(ip, w.ports.Proxy), w.storeAt(), nil)
 	if err != nil {
 		return nil, err
 	}
 	w.cleanup = append(w.cleanup, stop)
 	h.Proxy = p
+	w.cuts.mu.Lock()
+	w.cuts.zones[ip] = h.Zone
+	w.cuts.mu.Unlock()
+	stop, err = link(ctx, netip.AddrPortFrom(ip, w.ports.Peers), netip.AddrPortFrom(ip, w.ports.Control), w.cuts.toHost(h))
+	if err != nil {
+		return nil, err
+	}
+	w.cleanup = append(w.cleanup, stop)
 	h.route = &flows.Host{
 		Data:  netip.AddrPortFrom(ip, w.ports.Data),
 		Ready: metadata.ReadinessURL(netip.AddrPortFrom(ip, w.ports.Ready)),
@@ -203,6 +226,24 @@
 	return h, nil
 }
 
+// link passes datagrams and connections on from one address to another. The clean-up
+// function ends it.
+func link(ctx context.Context, at, to netip.AddrPort, blocked func(from netip.Addr) bool) (func(), error) {
+	_, stopRelay, err := NewRelay(at, to, blocked)
+	if err != nil {
+		return nil, err
+	}
+	_, stopProxy, err := NewProxy(ctx, at, to, blocked)
+	if err != nil {
+		stopRelay()
+		return nil, err
+	}
+	return func() {
+		stopRelay()
+		stopProxy()
+	}, nil
+}
+
 func zoneName(i int) string { return "zone-" + strconv.Itoa(i+1) }
 
 func (w *World) startServers(context.Context) error {
@@ -225,7 +266,7 @@
 	defer w.mu.Unlock()
 	w.next++
 	if !at.IsValid() {
-		ip := netip.AddrFrom4([4]byte{127, 2, byte(w.next >> 8), byte(w.next)})
+		ip := netip.AddrFrom4([4]byte{127, serverNet, byte(w.next >> 8), byte(w.next)})
 		at = netip.AddrPortFrom(ip, w.ports.Data)
 	}
 	id := bundle.UpstreamID(w.rng.Uint64N(1 << 40))
@@ -237,14 +278,35 @@
 		return err
 	}
 	s := &Server{Upstream: u, end: end}
+	if err := w.link(s); err != nil {
+		end()
+		return err
+	}
 	w.servers = append(w.servers, s)
 	w.register(s)
 	return nil
 }
 
+// link puts a relay before an upstream, at the same port of another address.
+func (w *World) link(s *Server) error {
+	ip := s.Address.Addr().As4()
+	ip[1] = linkNet
+	s.at = netip.AddrPortFrom(netip.AddrFrom4(ip), s.Address.Port())
+	stop, err := link(context.Background(), s.at, s.Address, w.cuts.toServer(s))
+	if err != nil {
+		return err
+	}
+	end := s.end
+	s.end = func() {
+		stop()
+		end()
+	}
+	return nil
+}
+
 func (w *World) register(s *Server) {
 	w.Store.Register(&registry.Registration{
-		ID: s.ID, Service: s.Service, Address: s.Address, Zone: s.Zone, Slots: s.Slots, Draining: !s.drained.IsZero(),
+		ID: s.ID, Service: s.Service, Address: s.at, Zone: s.Zone, Slots: s.Slots, Draining: !s.drained.IsZero(),
 	})
 }
 
@@ -283,7 +345,7 @@
 	named := h.Seeds
 	for i := range min(zones, len(w.Hosts)) {
 		if len(h.Seeds) == 0 {
-			named = append(named, netip.AddrPortFrom(w.Hosts[i].IP, w.ports.Control))
+			named = append(named, netip.AddrPortFrom(w.Hosts[i].IP, w.ports.Peers))
 		}
 	}
 	seeds := ""
@@ -293,10 +355,10 @@
 	at := func(port uint16) string { return strconv.Quote(netip.AddrPortFrom(h.IP, port).String()) }
 	return fmt.Sprintf(`{
   "Name": %q, "Zone": %q, "CPUShare": 1, "Seeds": [%s],
-  "DataAddress": %s, "ReadinessAddress": %s, "ControlAddress": %s, "MetricsAddress": %s,
+  "DataAddress": %s, "ReadinessAddress": %s, "ControlAddress": %s, "AnnouncedAddress": %s, "MetricsAddress": %s,
   "Store": "http://%s", "Secret": "c2VjcmV0IG9mIHRoZSB3b3JsZA==",
 }
-`, h.Name, h.Zone, seeds, at(w.ports.Data), at(w.ports.Ready), at(w.ports.Control), at(w.ports.Metrics),
+`, h.Name, h.Zone, seeds, at(w.ports.Data), at(w.ports.Ready), at(w.ports.Control), at(w.ports.Peers), at(w.ports.Metrics),
 		netip.AddrPortFrom(h.IP, w.ports.Proxy))
 }
 
