status: both carriages tell their state; burn of a service-level objective

Cause: the burn report was missing, and status and report asked the first carriage only. Change: package status (types, sums and imbalance from package daemon), served by the cookie carriage on its metrics address; requests by service as answered in time, late, failed, refused or unknown, counted from packets; fescueshed burn asks balancers in rounds and prints the share of bad requests over the share that the objective allows.

--- /dev/null
+++ b/cmd/fescueshed/burn.go
@@ -0,0 +1,96 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"text/tabwriter"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/fescueshed/fescueshed/internal/process/status"
+)
+
+type burnCommand struct {
+	Admin     []string      `help:"Metrics addresses of the balancers." required:"" placeholder:"HOST:PORT"`
+	Objective float64       `help:"Share of requests that must be answered in time." default:"0.99"`
+	Window    time.Duration `help:"Time between two rounds of asking." default:"10s"`
+	Rounds    int           `help:"How many windows to show." default:"1"`
+	JSON      bool          `help:"Print JSON, one line for each window."`
+	Timeout   time.Duration `help:"How long to wait for each balancer." default:"5s"`
+}
+
+// burnWindow is the report of one window.
+type burnWindow struct {
+	// Window is the burn of the last window, Total that since the first round.
+	Window, Total []status.Burn
+}
+
+// Run asks all balancers again and again and prints how fast each service uses up what
+// its objective allows: in the last window, which shows what burns now, and since the
+// command began, which a short disturbance moves little.
+func (c *burnCommand) Run(ctx context.Context) error {
+	if c.Objective <= 0 || c.Objective >= 1 {
+		return eris.Errorf("--objective is %v, want more than 0 and less than 1", c.Objective)
+	}
+	first, err := c.ask(ctx)
+	if err != nil {
+		return err
+	}
+	last := first
+	for range c.Rounds {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-time.After(c.Window):
+		}
+		next, err := c.ask(ctx)
+		if err != nil {
+			fmt.Fprintln(os.Stderr, err) // The others' words still say something.
+		}
+		w := burnWindow{
+			Window: status.BurnBetween(last, next, c.Objective),
+			Total:  status.BurnBetween(first, next, c.Objective),
+		}
+		if err := c.print(&w); err != nil {
+			return err
+		}
+		last = next
+	}
+	return nil
+}
+
+// ask returns what the balancers tell. Those that don't answer are named by the error.
+func (c *burnCommand) ask(ctx context.Context) ([]status.Status, error) {
+	var out []status.Status
+	var errs []error
+	for _, a := range c.Admin {
+		s, err := fetchStatus(ctx, a, c.Timeout)
+		if err != nil {
+			errs = append(errs, fmt.Errorf("%s: %w", a, err))
+			continue
+		}
+		out = append(out, *s)
+	}
+	return out, errors.Join(errs...)
+}
+
+func (c *burnCommand) print(b *burnWindow) error {
+	if c.JSON {
+		return json.NewEncoder(os.Stdout).Encode(b)
+	}
+	total := make(map[string]float64)
+	for _, t := range b.Total {
+		total[t.Service] = t.Rate
+	}
+	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "SERVICE\tREQUESTS\tIN TIME\tLATE\tFAILED\tREFUSED\tUNKNOWN\tBURN\tSINCE START")
+	for _, s := range b.Window {
+		fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%d\t%d\t%d\t%.2f\t%.2f\n",
+			s.Service, s.Known(), s.InTime, s.Late, s.Failed, s.Refused, s.Unknown, s.Rate, total[s.Service])
+	}
+	return w.Flush()
+}
--- a/cmd/fescueshed/main.go
+++ b/cmd/fescueshed/main.go
@@ -21,6 +21,7 @@
 	Status   statusCommand   `cmd:"" help:"Show what a balancer knows: members, upstreams, load, drops."`
 	Capacity capacityCommand `cmd:"" help:"Measure what the parts cost and work out the size to design for."`
 	Report   reportCommand   `cmd:"" help:"Show what several balancers hold together: versions, load, imbalance, drops."`
+	Burn     burnCommand     `cmd:"" help:"Show how fast each service uses up what its service-level objective allows."`
 	Check    checkCommand    `cmd:"" help:"Check settings and bundles and print all findings."`
 }
 
--- a/cmd/fescueshed/report.go
+++ b/cmd/fescueshed/report.go
@@ -9,11 +9,11 @@
 	"text/tabwriter"
 	"time"
 
-	"github.com/fescueshed/fescueshed/internal/process/daemon"
+	"github.com/fescueshed/fescueshed/internal/process/status"
 )
 
 type reportCommand struct {
-	Admin   []string      `help:"Admin addresses of the balancers." required:"" placeholder:"HOST:PORT"`
+	Admin   []string      `help:"Admin or metrics addresses of the balancers." required:"" placeholder:"HOST:PORT"`
 	JSON    bool          `help:"Print JSON."`
 	Timeout time.Duration `help:"How long to wait for each balancer." default:"5s"`
 }
@@ -21,7 +21,7 @@
 // Run asks all balancers and prints what they hold together. A balancer that
 // doesn't answer is named, and makes the command fail after the report.
 func (c *reportCommand) Run(ctx context.Context) error {
-	var all []daemon.Status
+	var all []status.Status
 	var errs []error
 	for _, a := range c.Admin {
 		s, err := fetchStatus(ctx, a, c.Timeout)
@@ -31,7 +31,7 @@
 		}
 		all = append(all, *s)
 	}
-	r := daemon.Summarize(all)
+	r := status.Summarize(all)
 	if c.JSON {
 		if err := json.NewEncoder(os.Stdout).Encode(r); err != nil {
 			return err
@@ -44,7 +44,7 @@
 	return errors.Join(errs...)
 }
 
-func printSummary(r *daemon.Summary) error {
+func printSummary(r *status.Summary) error {
 	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(w, "ZONE\tBUNDLE\tBALANCERS")
 	for _, v := range r.Versions {
--- a/cmd/fescueshed/status.go
+++ b/cmd/fescueshed/status.go
@@ -5,17 +5,16 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net/http"
 	"os"
 	"strings"
 	"text/tabwriter"
 	"time"
 
-	"github.com/fescueshed/fescueshed/internal/process/daemon"
+	"github.com/fescueshed/fescueshed/internal/process/status"
 )
 
 type statusCommand struct {
-	Admin   string        `help:"Admin address of a balancer." required:"" placeholder:"HOST:PORT"`
+	Admin   string        `help:"Admin or metrics address of a balancer." required:"" placeholder:"HOST:PORT"`
 	JSON    bool          `help:"Print JSON."`
 	Timeout time.Duration `help:"How long to wait." default:"5s"`
 }
@@ -34,23 +33,13 @@
 	return printStatus(s)
 }
 
-func fetchStatus(ctx context.Context, admin string, timeout time.Duration) (*daemon.Status, error) {
+func fetchStatus(ctx context.Context, address string, timeout time.Duration) (*status.Status, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+admin+"/status", http.NoBody)
-	if err != nil {
-		return nil, err
-	}
-	resp, err := http.DefaultClient.Do(r)
-	if err != nil {
-		return nil, err
-	}
-	defer func() { _ = resp.Body.Close() }()
-	var s daemon.Status
-	return &s, json.NewDecoder(resp.Body).Decode(&s)
+	return status.Fetch(ctx, address)
 }
 
-func printStatus(s *daemon.Status) error {
+func printStatus(s *status.Status) error {
 	fmt.Printf("%s in %s: bundle %d (prepared by %s, approved by %s), %d flow records, %d open requests\n\n",
 		s.Name, s.Zone, s.Version, s.Prepared, s.Approved, s.Flows, s.OpenRequests)
 	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
@@ -70,7 +59,7 @@
 	return w.Flush()
 }
 
-func printDrops(w io.Writer, drops []daemon.DropStatus) {
+func printDrops(w io.Writer, drops []status.DropStatus) {
 	fmt.Fprintln(w, "\nDROPPED FOR\tPACKETS")
 	for _, d := range drops {
 		fmt.Fprintf(w, "%s\t%d\n", d.Cause, d.Packets)
--- a/internal/connection/cookie/engine.go
+++ b/internal/connection/cookie/engine.go
@@ -45,6 +45,7 @@
 	busy       map[string]busyness
 	zones      map[zoneService]zoneLoad
 	candidates []upstream.Candidate
+	requests   map[string]*Requests
 	Board      *upstream.Board
 	Counters   Counters
 }
@@ -73,6 +74,7 @@
 		unknown:   make(map[Cookie]time.Time),
 		busy:      make(map[string]busyness),
 		zones:     make(map[zoneService]zoneLoad),
+		requests:  make(map[string]*Requests),
 		Board:     upstream.NewBoard(),
 	}
 }
@@ -208,7 +210,7 @@
 	if p.opens() {
 		return e.open(p, r, now)
 	}
-	return e.pass(p, now)
+	return e.pass(p, r, now)
 }
 
 // refuse resets the flow of a packet. A reset is never answered by a reset.
@@ -221,6 +223,7 @@
 
 // end forgets a flow and returns the reset that tells its caller.
 func (e *Engine) end(k Key, f *flow, c Cause) Reset {
+	e.lost(f)
 	e.forget(k, f)
 	e.Counters.Reset[c]++
 	return Reset{Key: k, Seq: f.ack, Cause: c, Upstream: f.up.Route}
--- a/internal/connection/cookie/flow.go
+++ b/internal/connection/cookie/flow.go
@@ -1,6 +1,10 @@
 package cookie
 
-import "time"
+import (
+	"time"
+
+	"github.com/fescueshed/fescueshed/internal/version/bundle"
+)
 
 // flow is what a balancer remembers of a flow that passes it. It is soft state.
 type flow struct {
@@ -12,9 +16,12 @@
 	// counted says that the flow counts in its upstream's load, busy that a request
 	// does.
 	counted, busy bool
-	closing       bool
-	copies        uint32
-	placed, last  time.Time
+	// overdue says that a request is in progress but no longer counts as such, since it
+	// has waited for too long.
+	overdue      bool
+	closing      bool
+	copies       uint32
+	placed, last time.Time
 	// askedAt is when the request in progress came.
 	askedAt time.Time
 	// ack is the highest acknowledgement seen, next the number after the highest
@@ -65,7 +72,7 @@
 // asked counts a request in progress.
 func (f *flow) asked(now time.Time) {
 	if !f.busy {
-		f.busy, f.askedAt = true, now
+		f.busy, f.overdue, f.askedAt = true, false, now
 		f.up.load.Requests.Add(1)
 	}
 }
@@ -89,7 +96,7 @@
 // observe learns from an established flow's packet. Callers repeat what isn't
 // acknowledged after 200 ms, so a repeated packet says that the upstream was
 // silent, and a higher acknowledgement that it wasn't.
-func (e *Engine) observe(f *flow, p *Packet, now time.Time) {
+func (e *Engine) observe(f *flow, p *Packet, r *bundle.CallerRoute, now time.Time) {
 	f.last = now
 	f.count()
 	if after(p.Ack, f.ack) {
@@ -97,7 +104,9 @@
 		e.alive(f.up, now)
 		if f.busy {
 			f.up.outcomes.answered++
-			e.opts.Answered(now.Sub(f.askedAt))
+		}
+		if f.busy || f.overdue {
+			e.ended(f, r, now)
 		}
 		f.answered()
 	}
@@ -111,7 +120,9 @@
 		e.unanswered(f.up, now)
 	}
 	if p.Flags.Has(FlagFIN | FlagRST) {
-		e.failed(f) // If a request is in progress, its caller has given it up.
+		// If a request is in progress, its caller has given it up.
+		e.lost(f)
+		e.failed(f)
 	}
 	if p.Flags.Has(FlagFIN) {
 		f.closing = true
--- a/internal/connection/cookie/grey.go
+++ b/internal/connection/cookie/grey.go
@@ -56,6 +56,8 @@
 func (e *Engine) overdue(now time.Time) {
 	for _, f := range e.flows {
 		if f.busy && now.Sub(f.askedAt) > failedAfter {
+			f.overdue = true
+			e.requestsOf(f.up.Route.Service).Unknown++
 			e.failed(f)
 		}
 	}
--- a/internal/connection/cookie/open.go
+++ b/internal/connection/cookie/open.go
@@ -33,8 +33,10 @@
 // place chooses the upstream of a new flow.
 func (e *Engine) place(p *Packet, r *bundle.CallerRoute, now time.Time) Verdict {
 	h := p.Key.hash()
-	u := e.choose(r.Pick(h), h, nil, now)
+	service := r.Pick(h)
+	u := e.choose(service, h, nil, now)
 	if u == nil {
+		e.requestsOf(service).Refused++
 		return refuse(p, CauseNoUpstream)
 	}
 	f := &flow{up: u, copies: p.Copy, placed: now, last: now, ack: p.Ack}
--- a/internal/connection/cookie/pass.go
+++ b/internal/connection/cookie/pass.go
@@ -1,6 +1,10 @@
 package cookie
 
-import "time"
+import (
+	"time"
+
+	"github.com/fescueshed/fescueshed/internal/version/bundle"
+)
 
 const (
 	// unknownGrace is how long a cookie that names no known upstream is left
@@ -13,10 +17,10 @@
 )
 
 // pass decides for a packet of an established flow.
-func (e *Engine) pass(p *Packet, now time.Time) Verdict {
+func (e *Engine) pass(p *Packet, r *bundle.CallerRoute, now time.Time) Verdict {
 	f := e.flows[p.Key]
 	if f == nil {
-		return e.adopt(p, now)
+		return e.adopt(p, r, now)
 	}
 	if !f.opened {
 		e.opened(f, p, now)
@@ -25,7 +29,7 @@
 	if u.health == HealthDead {
 		return e.refuseFlow(p, f, deadCause(u))
 	}
-	e.observe(f, p, now)
+	e.observe(f, p, r, now)
 	if p.Flags.Has(FlagRST) {
 		e.forget(p.Key, f)
 	}
@@ -50,7 +54,7 @@
 }
 
 // adopt decides for a flow that this balancer has no record of.
-func (e *Engine) adopt(p *Packet, now time.Time) Verdict {
+func (e *Engine) adopt(p *Packet, r *bundle.CallerRoute, now time.Time) Verdict {
 	if p.Cookie == 0 {
 		return Verdict{Cause: CauseNoCookie}
 	}
@@ -67,7 +71,7 @@
 	f := &flow{up: u, opened: true, last: now, placed: now, ack: p.Ack, next: p.Seq}
 	e.flows[p.Key] = f
 	u.flows++
-	e.observe(f, p, now)
+	e.observe(f, p, r, now)
 	return Verdict{Action: ActionForward, Upstream: u}
 }
 
@@ -86,6 +90,7 @@
 }
 
 func (e *Engine) refuseFlow(p *Packet, f *flow, c Cause) Verdict {
+	e.lost(f)
 	e.forget(p.Key, f)
 	v := refuse(p, c)
 	v.Reset.Upstream = f.up.Route
--- a/internal/connection/cookie/watch.go
+++ b/internal/connection/cookie/watch.go
@@ -2,9 +2,12 @@
 
 import (
 	"cmp"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/fescueshed/fescueshed/internal/connection/peer"
+	"github.com/fescueshed/fescueshed/internal/connection/upstream"
 	"github.com/fescueshed/fescueshed/internal/version/bundle"
 	"github.com/fescueshed/fescueshed/internal/version/registry"
 )
@@ -62,6 +65,23 @@
 	Reference *bundle.UpstreamRoute
 }
 
+// UpstreamLoad is a listed upstream with what this balancer counts there.
+type UpstreamLoad struct {
+	Route *bundle.UpstreamRoute
+	Load  *upstream.Load
+}
+
+// Upstreams returns the listed upstreams, in the order of their services and age.
+func (e *Engine) Upstreams() []UpstreamLoad {
+	var out []UpstreamLoad
+	for _, name := range slices.Sorted(maps.Keys(e.byService)) {
+		for _, u := range e.byService[name] {
+			out = append(out, UpstreamLoad{Route: u.Route, Load: u.load})
+		}
+	}
+	return out
+}
+
 // DueProbes returns the upstreams that are to be probed now. Each must be
 // answered by Probed.
 func (e *Engine) DueProbes(now time.Time) []Probe {
--- a/internal/connection/cookie/world_test.go
+++ b/internal/connection/cookie/world_test.go
@@ -14,6 +14,9 @@
 	"github.com/fescueshed/fescueshed/internal/version/registry"
 )
 
+// objective is that of all routes.
+const objective = 150 * time.Millisecond
+
 const (
 	ownZone   bundle.Zone = "a"
 	otherZone bundle.Zone = "b"
@@ -39,6 +42,7 @@
 		if !skip {
 			b.Routes = append(b.Routes, bundle.Route{
 				Name: name, Address: at, Targets: []bundle.Target{{Service: name, Weight: 1}},
+				Objective: bundle.Duration(objective),
 			})
 		}
 	}
--- a/internal/process/carrier/http.go
+++ b/internal/process/carrier/http.go
@@ -13,6 +13,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/fescueshed/fescueshed/internal/connection/cookie"
+	"github.com/fescueshed/fescueshed/internal/process/status"
 )
 
 const readHeaderTimeout = 5 * time.Second
@@ -27,8 +28,10 @@
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
 		set.WritePrometheus(w)
 		c.writeHistograms(w)
+		c.writeRequests(w)
 		metrics.WriteProcessMetrics(w)
 	})
+	mux.Handle("GET "+status.Path, status.Handler(c.Status))
 	return serveHTTP(ctx, c.cfg.Load().MetricsAddress, mux)
 }
 
@@ -77,6 +80,17 @@
 	return s
 }
 
+// writeRequests writes how requests ended, by service, which are known only as they come.
+func (c *Carrier) writeRequests(w io.Writer) {
+	for _, r := range c.Status().Requests {
+		for outcome, n := range map[string]uint64{
+			"InTime": r.InTime, "Late": r.Late, "Failed": r.Failed, "Refused": r.Refused, "Unknown": r.Unknown,
+		} {
+			fmt.Fprintf(w, "fescueshed_requests_total{service=%q,outcome=%q} %d\n", r.Service, outcome, n)
+		}
+	}
+}
+
 // histogram is what metrics.Histogram offers to a writer of its values.
 type histogram interface {
 	VisitNonZeroBuckets(f func(vmrange string, count uint64))
--- /dev/null
+++ b/internal/process/carrier/status.go
@@ -0,0 +1,54 @@
+package carrier
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/fescueshed/fescueshed/internal/connection/cookie"
+	"github.com/fescueshed/fescueshed/internal/process/status"
+)
+
+// Status returns the daemon's present state.
+func (c *Carrier) Status() status.Status {
+	cfg := c.cfg.Load()
+	out := status.Status{Name: cfg.Name, Zone: cfg.Zone, Version: c.inForce.Version()}
+	for _, m := range c.members.view.Load().Members {
+		out.Members = append(out.Members, status.MemberStatus{Name: m.Name, Zone: m.Zone, State: m.State.String()})
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	out.Flows = c.engine.Flows()
+	for _, u := range c.engine.Upstreams() {
+		requests := u.Load.Requests.Load()
+		out.OpenRequests += int(requests)
+		out.Upstreams = append(out.Upstreams, status.UpstreamStatus{
+			Service: u.Route.Service.Name, Name: u.Route.Address.String(), Zone: u.Route.Zone, Drain: u.Route.Drain,
+			Slots: u.Route.Slots, Flows: u.Load.Flows.Load(), Requests: requests,
+		})
+	}
+	out.Drops = dropStatus(&c.engine.Counters)
+	out.Requests = requestStatus(c.engine.Requests())
+	return out
+}
+
+// dropStatus returns what was dropped or reset, by cause.
+func dropStatus(k *cookie.Counters) []status.DropStatus {
+	var out []status.DropStatus
+	for cause := cookie.CauseNone; cause < cookie.NumCauses; cause++ {
+		if n := k.Dropped[cause] + k.Reset[cause]; n > 0 {
+			out = append(out, status.DropStatus{Cause: cause.String(), Packets: n})
+		}
+	}
+	return out
+}
+
+func requestStatus(counts map[string]*cookie.Requests) []status.RequestStatus {
+	out := make([]status.RequestStatus, 0, len(counts))
+	for service, r := range counts {
+		out = append(out, status.RequestStatus{
+			Service: service, InTime: r.InTime, Late: r.Late, Failed: r.Failed, Refused: r.Refused, Unknown: r.Unknown,
+		})
+	}
+	slices.SortFunc(out, func(a, b status.RequestStatus) int { return cmp.Compare(a.Service, b.Service) })
+	return out
+}
--- a/internal/process/daemon/admin.go
+++ b/internal/process/daemon/admin.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"net"
 	"net/http"
@@ -16,6 +15,7 @@
 
 	"github.com/fescueshed/fescueshed/internal/connection/caller"
 	"github.com/fescueshed/fescueshed/internal/connection/peer"
+	"github.com/fescueshed/fescueshed/internal/process/status"
 	"github.com/fescueshed/fescueshed/internal/version/bundle"
 )
 
@@ -31,7 +31,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("ok\n")) })
 	mux.HandleFunc("GET /readyz", d.serveReady)
-	mux.HandleFunc("GET /status", d.serveStatus)
+	mux.Handle("GET "+status.Path, status.Handler(d.Status))
 	set := d.metricSet()
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
 		set.WritePrometheus(w)
@@ -56,48 +56,9 @@
 	}
 }
 
-// Status is what a daemon tells of itself.
-type Status struct {
-	Name     string
-	Zone     bundle.Zone
-	Version  bundle.Version
-	Prepared string
-	Approved string
-	Members  []MemberStatus
-	// Flows counts records, the ones kept as backup too.
-	Flows        int
-	OpenRequests int
-	Upstreams    []UpstreamStatus
-	Drops        []DropStatus
-}
-
-// MemberStatus is a member as the daemon sees it.
-type MemberStatus struct {
-	Name  string
-	Zone  bundle.Zone
-	State string
-}
-
-// UpstreamStatus is an upstream with what this daemon has in progress there.
-type UpstreamStatus struct {
-	Service  string
-	Name     string
-	Zone     bundle.Zone
-	Drain    bool
-	Slots    int
-	Flows    int64
-	Requests int64
-}
-
-// DropStatus counts packets not passed on for one cause.
-type DropStatus struct {
-	Cause   string
-	Packets uint64
-}
-
 // Status returns the daemon's present state.
-func (d *Daemon) Status() Status {
-	s := Status{
+func (d *Daemon) Status() status.Status {
+	s := status.Status{
 		Name:         d.cfg.Name,
 		Zone:         d.cfg.Zone,
 		Flows:        d.engine.Flows.Len(),
@@ -107,25 +68,25 @@
 		s.Version, s.Prepared, s.Approved = b.Version, b.PreparedBy, b.ApprovedBy
 	}
 	for _, m := range d.engine.View().Members {
-		s.Members = append(s.Members, MemberStatus{Name: m.Name, Zone: m.Zone, State: m.State.String()})
+		s.Members = append(s.Members, status.MemberStatus{Name: m.Name, Zone: m.Zone, State: m.State.String()})
 	}
 	if t := d.engine.Routing(); t != nil {
 		s.Upstreams = d.upstreamStatus(t)
 	}
 	for c := 1; c < caller.NumCauses; c++ {
 		if n := d.engine.Counters.Drops[c].Load(); n > 0 {
-			s.Drops = append(s.Drops, DropStatus{Cause: caller.Cause(c).String(), Packets: n})
+			s.Drops = append(s.Drops, status.DropStatus{Cause: caller.Cause(c).String(), Packets: n})
 		}
 	}
 	return s
 }
 
-func (d *Daemon) upstreamStatus(t *bundle.Routing) []UpstreamStatus {
+func (d *Daemon) upstreamStatus(t *bundle.Routing) []status.UpstreamStatus {
 	upstreams := t.Upstreams()
-	out := make([]UpstreamStatus, 0, len(upstreams))
+	out := make([]status.UpstreamStatus, 0, len(upstreams))
 	for _, u := range upstreams {
 		l := d.engine.Board.Load(u.ID)
-		out = append(out, UpstreamStatus{
+		out = append(out, status.UpstreamStatus{
 			Service: u.Service.Name, Name: u.Name, Zone: u.Zone, Drain: u.Drain, Slots: u.Slots,
 			Flows: l.Flows.Load(), Requests: l.Requests.Load(),
 		})
@@ -139,13 +100,6 @@
 	return out
 }
 
-func (d *Daemon) serveStatus(w http.ResponseWriter, _ *http.Request) {
-	w.Header().Set("Content-Type", "application/json")
-	enc := json.NewEncoder(w)
-	enc.SetIndent("", "  ")
-	_ = enc.Encode(d.Status())
-}
-
 // metricSet names the counters by Prometheus conventions.
 func (d *Daemon) metricSet() *metrics.Set {
 	s := metrics.NewSet()
--- a/internal/process/status/summary.go
+++ b/internal/process/status/summary.go
@@ -1,4 +1,4 @@
-package daemon
+package status
 
 import (
 	"cmp"
--- a/internal/process/status/summary_test.go
+++ b/internal/process/status/summary_test.go
@@ -1,31 +1,31 @@
-package daemon_test
+package status_test
 
 import (
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"github.com/fescueshed/fescueshed/internal/process/daemon"
+	"github.com/fescueshed/fescueshed/internal/process/status"
 )
 
 var _ = Describe("Summary", func() {
 	It("adds up flows and drops, and counts versions by zone", func() {
-		status := func(first, second int64) daemon.Status {
-			s := daemon.Status{Zone: "a", Version: 1, Drops: []daemon.DropStatus{{Cause: "Refused", Packets: 2}}}
-			s.Upstreams = []daemon.UpstreamStatus{
+		told := func(first, second int64) status.Status {
+			s := status.Status{Zone: "a", Version: 1, Drops: []status.DropStatus{{Cause: "Refused", Packets: 2}}}
+			s.Upstreams = []status.UpstreamStatus{
 				{Service: "s", Name: "u1", Slots: 2, Flows: first},
 				{Service: "s", Name: "u2", Slots: 2, Flows: second},
 				{Service: "s", Name: "old", Slots: 2, Flows: 50, Drain: true},
 			}
 			return s
 		}
-		r := daemon.Summarize([]daemon.Status{status(3, 1), status(3, 1)})
-		Expect(r.Versions).To(Equal([]daemon.VersionCount{{Zone: "a", Version: 1, Balancers: 2}}))
-		Expect(r.Drops).To(Equal([]daemon.DropStatus{{Cause: "Refused", Packets: 4}}))
+		r := status.Summarize([]status.Status{told(3, 1), told(3, 1)})
+		Expect(r.Versions).To(Equal([]status.VersionCount{{Zone: "a", Version: 1, Balancers: 2}}))
+		Expect(r.Drops).To(Equal([]status.DropStatus{{Cause: "Refused", Packets: 4}}))
 		Expect(r.Services).To(HaveLen(1))
 		Expect(r.Services[0].Imbalance).To(BeNumerically("~", 1.5), "6 and 2, the draining one left out")
 	})
 
 	It("is empty without daemons", func() {
-		Expect(daemon.Summarize(nil).Services).To(BeEmpty())
+		Expect(status.Summarize(nil).Services).To(BeEmpty())
 	})
 })
--- a/internal/version/bundle/routing.go
+++ b/internal/version/bundle/routing.go
@@ -24,7 +24,10 @@
 type CallerRoute struct {
 	Name       string
 	Idempotent bool
-	Targets    []RouteTarget
+	// Objective is the time within which its requests are to be answered, zero if none
+	// is set.
+	Objective time.Duration
+	Targets   []RouteTarget
 	// Weight is the sum of the targets' weights.
 	Weight uint64
 }
@@ -139,7 +142,10 @@
 }
 
 func (t *Routing) addRoute(r *Route) {
-	c := &CallerRoute{Name: r.Name, Idempotent: r.Idempotent, Targets: make([]RouteTarget, 0, len(r.Targets))}
+	c := &CallerRoute{
+		Name: r.Name, Idempotent: r.Idempotent, Objective: time.Duration(r.Objective),
+		Targets: make([]RouteTarget, 0, len(r.Targets)),
+	}
 	for _, target := range r.Targets {
 		w := uint64(target.Weight)
 		c.Targets = append(c.Targets, RouteTarget{Service: t.named[target.Service], Weight: w})
