standin/world: worlds beside each other don't take the same ports

Free ports were sought on one loopback address, given back, and bound on others. Change: they are held on the first address for as long as the world stands.

--- a/internal/standin/world/world.go
+++ b/internal/standin/world/world.go
@@ -151,7 +151,8 @@
 	}
 }
 
-// findPorts takes ports that are free on the first address of the loopback range.
+// findPorts takes ports that are free on the first address of the loopback range, and
+// keeps them there as long as the world stands, so that worlds beside it take others.
 func (w *World) findPorts(ctx context.Context) error {
 	var found []uint16
 	for range 7 {
@@ -159,7 +160,7 @@
 		if err != nil {
 			return eris.Wrap(err, "world: ports")
 		}
-		defer func() { _ = l.Close() }()
+		w.cleanup = append(w.cleanup, func() { _ = l.Close() })
 		found = append(found, uint16(l.Addr().(*net.TCPAddr).Port))
 	}
 	w.ports = Ports{
