explain: the story of a flow from the logs of several balancers

Cause: docs/OPERATIONS.md led from a request to its cause by hand: grep, and then a search for the lines around it on each host. Change: package story parses klog's lines, takes those of the flow and those that explain them, and says what the last cause means; fescueshed explain prints it.

--- /dev/null
+++ b/cmd/fescueshed/explain.go
@@ -0,0 +1,47 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/fescueshed/fescueshed/internal/process/story"
+)
+
+type explainCommand struct {
+	Caller string   `help:"The flow's caller, as its or the upstream's log gives it." required:"" placeholder:"IP:PORT"`
+	Logs   []string `arg:"" help:"Logs of balancers, one file for each host; - is standard input." type:"path"`
+}
+
+// Run prints what the logs tell of a flow, in the order of time, and what it means.
+func (c *explainCommand) Run() error {
+	var lines []story.Line
+	for _, name := range c.Logs {
+		more, err := readLog(name)
+		if err != nil {
+			return err
+		}
+		lines = append(lines, more...)
+	}
+	s := story.Tell(lines, c.Caller)
+	for _, l := range s.Lines {
+		fmt.Printf("%s  %s  %s\n", l.Time.Format("15:04:05.000"), l.Host, l.Text)
+	}
+	fmt.Println("=>", s.Meaning)
+	return nil
+}
+
+func readLog(name string) ([]story.Line, error) {
+	if name == "-" {
+		return story.Parse(os.Stdin, "-")
+	}
+	f, err := os.Open(name)
+	if err != nil {
+		return nil, eris.Wrap(err, "explain")
+	}
+	defer func() { _ = f.Close() }() // It was read only.
+	return story.Parse(f, strings.TrimSuffix(filepath.Base(name), filepath.Ext(name)))
+}
--- a/cmd/fescueshed/main.go
+++ b/cmd/fescueshed/main.go
@@ -22,6 +22,7 @@
 	Capacity capacityCommand `cmd:"" help:"Measure what the parts cost and work out the size to design for."`
 	Report   reportCommand   `cmd:"" help:"Show what several balancers hold together: versions, load, imbalance, drops."`
 	Burn     burnCommand     `cmd:"" help:"Show how fast each service uses up what its service-level objective allows."`
+	Explain  explainCommand  `cmd:"" help:"Show what the logs of several balancers tell of one flow, and what it means."`
 	Check    checkCommand    `cmd:"" help:"Check settings and bundles and print all findings."`
 }
 
--- /dev/null
+++ b/internal/process/story/line.go
@@ -0,0 +1,94 @@
+// Package story puts together what happened to one flow from the logs of several
+// balancers.
+package story
+
+import (
+	"bufio"
+	"io"
+	"regexp"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// Line is one structured line of a balancer's log.
+type Line struct {
+	// Time is the time of day by the clock of its host, without a year.
+	Time    time.Time
+	Host    string
+	Message string
+	Fields  []Field
+	// Text is the line from its message on, as it was written.
+	Text string
+}
+
+// Field is a key with its value, quotes taken off.
+type Field struct{ Key, Value string }
+
+// Get returns the value of a key, empty if there is none.
+func (l *Line) Get(key string) string {
+	for _, f := range l.Fields {
+		if f.Key == key {
+			return f.Value
+		}
+	}
+	return ""
+}
+
+var (
+	// header is what klog writes before a message: severity, month and day, time,
+	// process and place in the source. What stands before it names the host, if logs of
+	// several were put together.
+	header = regexp.MustCompile(`[IWEF](\d{4} \d\d:\d\d:\d\d\.\d{6})\s+\d+ [^ \]]+\] `)
+	field  = regexp.MustCompile(`(\w+)=("(?:[^"\\]|\\.)*"|\S+)`)
+)
+
+const (
+	headerTime = "0102 15:04:05.000000"
+	// maxLineBytes bounds a line; those of balancers have some hundred bytes.
+	maxLineBytes = 1 << 20
+)
+
+// Parse reads the lines of a log. Lines that aren't a balancer's are passed over. host
+// names the host if the lines don't.
+func Parse(r io.Reader, host string) ([]Line, error) {
+	var out []Line
+	s := bufio.NewScanner(r)
+	s.Buffer(nil, maxLineBytes)
+	for s.Scan() {
+		if l, ok := parseLine(s.Text(), host); ok {
+			out = append(out, l)
+		}
+	}
+	return out, eris.Wrapf(s.Err(), "log of %s", host)
+}
+
+func parseLine(text, host string) (Line, bool) {
+	at := header.FindStringSubmatchIndex(text)
+	if at == nil {
+		return Line{}, false
+	}
+	t, err := time.Parse(headerTime, text[at[2]:at[3]])
+	if err != nil {
+		return Line{}, false // The header of another program's line.
+	}
+	if before := strings.Fields(text[:at[0]]); len(before) > 0 {
+		host = before[len(before)-1]
+	}
+	l := Line{Time: t, Host: host, Text: text[at[1]:]}
+	rest := l.Text
+	if quoted, err := strconv.QuotedPrefix(rest); err == nil {
+		l.Message, _ = strconv.Unquote(quoted) // A quoted prefix can be unquoted.
+		rest = rest[len(quoted):]
+	}
+	for _, m := range field.FindAllStringSubmatch(rest, -1) {
+		value := m[2]
+		if unquoted, err := strconv.Unquote(value); err == nil {
+			value = unquoted
+		}
+		l.Fields = append(l.Fields, Field{Key: m[1], Value: value})
+	}
+	return l, true
+}
