--- a/internal/connection/upstream/rush_test.go
+++ b/internal/connection/upstream/rush_test.go
@@ -4,6 +4,7 @@
 	"container/heap"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -46,7 +47,9 @@
 	route           *bundle.UpstreamRoute
 	flows           int64
 	inWork, waiting int
-	dead            bool
+	// asked counts the requests that came.
+	asked int
+	dead  bool
 	// finish is when each slot is free.
 	queue []time.Duration
 }
@@ -150,6 +153,7 @@
 
 func (r *rush) request(u *rushUpstream) {
 	r.asked++
+	u.asked++
 	if u.inWork == rushSlots && u.waiting == rushQueue {
 		r.refused++
 		return
@@ -243,6 +247,19 @@
 	return o.Policy.Choose(candidates, seed)
 }
 
+// ownZoneHashed is the naive policy: an upstream of the own zone by the flow's hash.
+type ownZoneHashed bundle.Zone
+
+func (o ownZoneHashed) Choose(candidates []upstream.Candidate, seed uint64) *bundle.UpstreamRoute {
+	var own []upstream.Candidate
+	for i := range candidates {
+		if candidates[i].Route.Zone == bundle.Zone(o) {
+			own = append(own, candidates[i])
+		}
+	}
+	return upstream.Hashed{}.Choose(own, seed)
+}
+
 var _ = Describe("Placing by two choices", func() {
 	// Each of many balancers takes the upstream that had the fewest flows half a
 	// second ago. All take the same one, its queue is full, and it sheds requests
@@ -290,6 +307,31 @@
 		Expect(with.share()).To(BeNumerically(">", best.share()-0.05), "with: %v; anywhere: %v", with, best)
 	})
 
+	// The editing service has just the upstreams that the weekly rush needs. If one of a
+	// zone gets a third more than its neighbours, secretaries wait there while the others
+	// have slots free.
+	It("spreads the work of a zone over its upstreams within a fifth of their mean", func() {
+		worst := func(policy func(bundle.Zone) upstream.Policy) float64 {
+			most := 0.0
+			byZone := make(map[bundle.Zone][]int)
+			for _, u := range play(policy, 0).upstreams {
+				byZone[u.route.Zone] = append(byZone[u.route.Zone], u.asked)
+			}
+			for _, asked := range byZone {
+				sum := 0
+				for _, n := range asked {
+					sum += n
+				}
+				most = max(most, float64(slices.Max(asked)*len(asked))/float64(sum))
+			}
+			return most
+		}
+		hashed := worst(func(z bundle.Zone) upstream.Policy { return ownZoneHashed(z) })
+		ours := worst(spill)
+		Expect(ours).To(BeNumerically("<", 1.2))
+		Expect(ours).To(BeNumerically("<", hashed), "ours %.3f, hashed %.3f", ours, hashed)
+	})
+
 	It("stays in the own zone while it has room", func() {
 		r := play(spill, 0)
 		crossed := int64(0)
