upstream: the board forgets upstreams that are gone for good

Cause: found by reading for what grows: each start of an upstream has an identifier of its own, and the board kept a load for each of them, also for those that only another daemon's report named. Before: the new test fails (500 loads after 50 replacements of 10). After: 20 at most.

--- a/internal/connection/cookie/engine_test.go
+++ b/internal/connection/cookie/engine_test.go
@@ -217,3 +217,26 @@
 		seen[c] = i
 	}
 }
+
+var _ = Describe("A balancer that runs for weeks", func() {
+	// Each replacement of an upstream has an identifier of its own. What is counted at
+	// each would fill the memory of a host that isn't restarted for long.
+	It("forgets upstreams that were replaced, with what it counted there", func() {
+		const perRound = 10
+		e := newEngine(nil)
+		now := start
+		for round := range 50 {
+			var list []registry.Registration
+			for i := range perRound {
+				r := registration(i + 1)
+				r.ID += bundle.UpstreamID(1000 * round)
+				list = append(list, r)
+			}
+			e.SetUpstreams(list, now)
+			newCaller(round, feedAt).open(e, now)
+			now = now.Add(2 * time.Minute)
+			e.Expire(now)
+		}
+		Expect(e.Board.Len()).To(BeNumerically("<=", 2*perRound))
+	})
+})
--- a/internal/connection/cookie/watch.go
+++ b/internal/connection/cookie/watch.go
@@ -144,6 +144,9 @@
 	}
 }
 
+// Knows reports whether an upstream is listed, or was lately.
+func (e *Engine) Knows(id bundle.UpstreamID) bool { return e.upstreams[id] != nil }
+
 // Health returns the belief about an upstream.
 func (e *Engine) Health(id bundle.UpstreamID) Health {
 	if u := e.upstreams[id]; u != nil {
@@ -223,6 +226,7 @@
 	for id, u := range e.upstreams {
 		if !u.listed && u.flows == 0 && now.Sub(u.goneAt) > e.opts.FlowLifetime {
 			delete(e.upstreams, id)
+			e.Board.Forget(id)
 			gone = true
 		}
 	}
--- a/internal/connection/upstream/board.go
+++ b/internal/connection/upstream/board.go
@@ -77,6 +77,25 @@
 	return l
 }
 
+// Forget drops the load of an upstream that is gone for good. Each start of an upstream
+// that registers itself has an identifier of its own, so a daemon that runs for weeks
+// would else keep one for each replacement of each upstream.
+func (b *Board) Forget(id bundle.UpstreamID) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	delete(b.loads, id)
+	for _, flows := range b.told {
+		delete(flows, id)
+	}
+}
+
+// Len returns how many upstreams have a load.
+func (b *Board) Len() int {
+	b.mu.RLock()
+	defer b.mu.RUnlock()
+	return len(b.loads)
+}
+
 // Heard takes in how many flows another member is home of, by upstream in the
 // order of ids.
 func (b *Board) Heard(from MemberID, ids []bundle.UpstreamID, flows []uint32) {
--- a/internal/process/carrier/loads.go
+++ b/internal/process/carrier/loads.go
@@ -190,6 +190,9 @@
 	ids := make([]bundle.UpstreamID, 0, len(r.Loads))
 	flows := make([]uint32, 0, len(r.Loads))
 	for _, l := range r.Loads {
+		if !c.engine.Knows(l.Upstream) {
+			continue
+		}
 		others := int64(l.Flows) - c.engine.Board.Load(l.Upstream).Flows.Load()
 		ids = append(ids, l.Upstream)
 		flows = append(flows, uint32(max(0, others)))
