capacity: slopes of the carriage by cookie; a change costs the same at any size

The slopes showed that a change still grew by 13 ns with each upstream (1.46 ms at 110,000): the doubt of a mass loss counted all ready entries each time, and a map with room for all was cleared.

--- a/internal/connection/cookie/grey.go
+++ b/internal/connection/cookie/grey.go
@@ -73,15 +73,15 @@
 // anything to count.
 func (e *Engine) Loads() []peer.Load {
 	var out []peer.Load
-	for id, u := range e.upstreams {
+	for _, u := range e.upstreams {
 		o := &u.outcomes
 		l := peer.Load{
-			Upstream: id,
+			Cookie:   uint32(u.Cookie),
 			Flows:    uint32(max(0, u.load.Flows.Load())),
 			Answered: o.answered + o.lastAnswered,
 			Failed:   o.failed + o.lastFailed,
 		}
-		if u.listed && l.Flows+l.Answered+l.Failed > 0 {
+		if u.listed && !u.shadowed && l.Flows+l.Answered+l.Failed > 0 {
 			out = append(out, l)
 		}
 	}
@@ -94,14 +94,14 @@
 func (e *Engine) Judge(list []peer.Load, now time.Time) []bundle.UpstreamID {
 	var out []bundle.UpstreamID
 	for _, l := range list {
-		u := e.upstreams[l.Upstream]
+		u := e.table.byCookie[Cookie(l.Cookie)]
 		if u == nil || !u.listed || now.Before(u.ejected) || !fails(l) || !e.mayEject(u, now) {
 			continue
 		}
 		u.ejections = min(u.ejections+1, ejectTimes)
 		u.ejected = now.Add(ejectFor << (u.ejections - 1))
 		u.outcomes = outcomes{}
-		out = append(out, l.Upstream)
+		out = append(out, u.Route.ID)
 	}
 	return out
 }
--- a/internal/connection/cookie/grey_test.go
+++ b/internal/connection/cookie/grey_test.go
@@ -83,8 +83,8 @@
 
 	It("isn't left out for a few failures or for a small share", func() {
 		e := newEngine(registrations(6))
-		Expect(e.Judge([]peer.Load{{Upstream: bad, Failed: 2}}, start)).To(BeEmpty())
-		Expect(e.Judge([]peer.Load{{Upstream: bad, Failed: 10, Answered: 90}}, start)).To(BeEmpty())
-		Expect(e.Judge([]peer.Load{{Upstream: bad, Failed: 30, Answered: 70}}, start)).To(HaveLen(1))
+		Expect(e.Judge([]peer.Load{{Cookie: uint32(cookie.Of(bad)), Failed: 2}}, start)).To(BeEmpty())
+		Expect(e.Judge([]peer.Load{{Cookie: uint32(cookie.Of(bad)), Failed: 10, Answered: 90}}, start)).To(BeEmpty())
+		Expect(e.Judge([]peer.Load{{Cookie: uint32(cookie.Of(bad)), Failed: 30, Answered: 70}}, start)).To(HaveLen(1))
 	})
 })
--- a/internal/connection/cookie/watch.go
+++ b/internal/connection/cookie/watch.go
@@ -144,8 +144,14 @@
 	}
 }
 
-// Knows reports whether an upstream is listed, or was lately.
-func (e *Engine) Knows(id bundle.UpstreamID) bool { return e.upstreams[id] != nil }
+// Named returns the upstream that a cookie names, and whether there is one.
+func (e *Engine) Named(c Cookie) (bundle.UpstreamID, bool) {
+	u := e.table.byCookie[c]
+	if u == nil {
+		return 0, false
+	}
+	return u.Route.ID, true
+}
 
 // Health returns the belief about an upstream.
 func (e *Engine) Health(id bundle.UpstreamID) Health {
--- a/internal/connection/peer/news.go
+++ b/internal/connection/peer/news.go
@@ -34,7 +34,7 @@
 	// MaxNewsChanges bounds Changes: one takes up to 60 bytes. A member that misses
 	// more fetches them.
 	MaxNewsChanges = 16
-	// MaxLoads bounds Loads: one takes about 14 bytes.
+	// MaxLoads bounds Loads: one takes about 11 bytes.
 	MaxLoads = 64
 	// MaxDead bounds Dead.
 	MaxDead = 16
@@ -61,9 +61,14 @@
 // Load is what somebody counts at an upstream: its flows, and how requests on them
 // ended in the last while.
 type Load struct {
-	_                       struct{} `cbor:",toarray"`
-	Upstream                bundle.UpstreamID
-	Flows, Answered, Failed uint32
+	_ struct{} `cbor:",toarray"`
+	// Cookie names the upstream, as in the packets of its flows: in four bytes less than
+	// its identifier, of a message that is mostly these.
+	Cookie uint32
+	Flows  uint32
+	// Answered is left out of a sum in which Failed is zero: it is there for the share of
+	// failures.
+	Answered, Failed uint32
 }
 
 // ZoneLoad is how many flows the usable upstreams of a service hold in a zone, and
--- a/internal/process/capacity/rows.go
+++ b/internal/process/capacity/rows.go
@@ -35,6 +35,14 @@
 	watchers = 6
 	// tellBytes is a told record with all headers and its confirmation.
 	tellBytes = 2 * 128
+	// cellZones is how many zones a cell spreads over, fleetZones how many there are.
+	cellZones  = 3
+	fleetZones = 10
+	// flowsPerDaemon pass each daemon of the cookie's carriage.
+	flowsPerDaemon   = fleetFlows / fleetDaemons
+	flowsPerUpstream = int(fleetFlows) / fleetUpstreams
+	// viewsPerRestart: it leaves, is gone, and is back.
+	viewsPerRestart = 3
 	// packetsPerFlow is assumed: a feed's flow carries one packet a second.
 	packetsPerFlow = 1
 )
@@ -49,6 +57,7 @@
 	places := place([]int{14, 100, 220, 1000})
 	took, heap, size := load([]int{220, 2200, 22_000, 110_000})
 	r := &Report{Slopes: []Slope{bytes, cpu, ranks, memory, decides, places, took, heap, size}}
+	r.Slopes = append(r.Slopes, cookieSlopes()...)
 	for i := range r.Slopes {
 		r.Slopes[i].fit()
 	}
@@ -56,6 +65,16 @@
 	return r
 }
 
+// cookieSlopes are those of the carriage by cookie.
+func cookieSlopes() []Slope {
+	decides, flows := cookiePackets([]int{1000, 10_000, 100_000})
+	places, changes, upstreams := cookieUpstreams([]int{220, 2200, 22_000, 110_000})
+	views, members := cookieMembers([]int{32, 100, 1600, 16_000})
+	news, sums := cookieBytes()
+	gossip := cookieGossip([]int{9, 16, 32})
+	return []Slope{decides, flows, places, changes, upstreams, views, members, news, sums, gossip}
+}
+
 func (r *Report) slope(name string) *Slope {
 	for i := range r.Slopes {
 		if r.Slopes[i].Name == name {
@@ -70,7 +89,8 @@
 	near := func(name string, size float64) float64 { return r.slope(name).Near(size) }
 	out := daemonRows(at, near)
 	out = append(out, flowRows(at)...)
-	return append(out, platformRows(at)...)
+	out = append(out, platformRows(at)...)
+	return append(out, cookieRows(at, near)...)
 }
 
 // daemonRows are what every daemon pays for being one.
--- a/internal/process/carrier/loads.go
+++ b/internal/process/carrier/loads.go
@@ -9,6 +9,7 @@
 
 	"k8s.io/klog/v2"
 
+	"github.com/fescueshed/fescueshed/internal/connection/cookie"
 	"github.com/fescueshed/fescueshed/internal/connection/peer"
 	"github.com/fescueshed/fescueshed/internal/connection/upstream"
 	"github.com/fescueshed/fescueshed/internal/version/bundle"
@@ -74,7 +75,7 @@
 	z.mu.Lock()
 	defer z.mu.Unlock()
 	out := &peer.Report{From: self}
-	loads := make(map[bundle.UpstreamID]peer.Load)
+	loads := make(map[uint32]peer.Load)
 	services := make(map[string]peer.ServiceLoad)
 	for id, t := range z.told {
 		if now.Sub(t.at) > reportFor {
@@ -82,9 +83,9 @@
 			continue
 		}
 		for _, l := range t.report.Loads {
-			have := loads[l.Upstream]
-			loads[l.Upstream] = peer.Load{
-				Upstream: l.Upstream, Flows: have.Flows + l.Flows,
+			have := loads[l.Cookie]
+			loads[l.Cookie] = peer.Load{
+				Cookie: l.Cookie, Flows: have.Flows + l.Flows,
 				Answered: have.Answered + l.Answered, Failed: have.Failed + l.Failed,
 			}
 		}
@@ -112,7 +113,7 @@
 // topLoads returns the loads with most flows, as many as fit a report.
 func topLoads(list []peer.Load) []peer.Load {
 	slices.SortFunc(list, func(a, b peer.Load) int {
-		return cmp.Or(cmp.Compare(b.Flows, a.Flows), cmp.Compare(a.Upstream, b.Upstream))
+		return cmp.Or(cmp.Compare(b.Flows, a.Flows), cmp.Compare(a.Cookie, b.Cookie))
 	})
 	return list[:min(len(list), peer.MaxLoads)]
 }
@@ -143,6 +144,11 @@
 		send(m, protocolReport, m.reports, sum, []*peer.Member{p})
 		return
 	}
+	for i := range sum.Loads {
+		if l := &sum.Loads[i]; l.Failed == 0 {
+			l.Answered = 0
+		}
+	}
 	sum.Sum, sum.Zones, sum.Stamp = true, m.loads.zones(now), m.stamp.Add(1)
 	m.c.takeLoads(sum, now)
 	send(m, protocolReport, m.reports, sum, v.Children(peer.TreeForward, true))
@@ -190,11 +196,12 @@
 	ids := make([]bundle.UpstreamID, 0, len(r.Loads))
 	flows := make([]uint32, 0, len(r.Loads))
 	for _, l := range r.Loads {
-		if !c.engine.Knows(l.Upstream) {
-			continue
+		id, ok := c.engine.Named(cookie.Cookie(l.Cookie))
+		if !ok {
+			continue // It isn't known here yet, or any more.
 		}
-		others := int64(l.Flows) - c.engine.Board.Load(l.Upstream).Flows.Load()
-		ids = append(ids, l.Upstream)
+		others := int64(l.Flows) - c.engine.Board.Load(id).Flows.Load()
+		ids = append(ids, id)
 		flows = append(flows, uint32(max(0, others)))
 	}
 	c.engine.SetZones(r.Zones, now)
--- a/internal/standin/links/links.go
+++ b/internal/standin/links/links.go
@@ -49,6 +49,7 @@
 	// Measured makes each message count with its encoded size.
 	Measured bool
 
+	cfg   peer.Config
 	codec *peer.Codec[peer.Message, *peer.Message]
 	queue []datagram
 }
@@ -59,12 +60,15 @@
 }
 
 // New returns a network of n members, which know a few hosts of a common list.
-func New(n int, seed uint64) *Network {
+func New(n int, seed uint64) *Network { return NewWith(n, seed, peer.Config{}) }
+
+// NewWith returns a network of members with other times than the default ones.
+func NewWith(n int, seed uint64, cfg peer.Config) *Network {
 	codec, err := peer.NewCodec[peer.Message]([]byte("secret of the tests"), peer.DomainMembership)
 	if err != nil {
 		panic(err)
 	}
-	w := &Network{Now: start, Rng: rand.New(rand.NewPCG(seed, 1)), codec: codec}
+	w := &Network{Now: start, cfg: cfg, Rng: rand.New(rand.NewPCG(seed, 1)), codec: codec}
 	for range n {
 		w.Add()
 	}
@@ -95,7 +99,7 @@
 	m.Up = true
 	m.Host.Boot = w.Rng.Uint64()
 	m.Host.Incarnation = peer.Incarnation(w.Now.Add(m.Clock).UnixMilli())
-	m.Membership = peer.NewMembership(peer.Config{}, m.Host, rand.New(rand.NewPCG(w.Rng.Uint64(), 2)))
+	m.Membership = peer.NewMembership(w.cfg, m.Host, rand.New(rand.NewPCG(w.Rng.Uint64(), 2)))
 	known := min(len(w.Members), 5)
 	seeds := make([]netip.AddrPort, 0, known)
 	for i := range known {
--- a/internal/version/registry/catalog.go
+++ b/internal/version/registry/catalog.go
@@ -15,8 +15,9 @@
 	// AsOf is the revision up to which every change is known.
 	AsOf    objects.Revision
 	entries map[bundle.UpstreamID]Registration
-	// digest is the sum over entries, see Digest.
+	// digest is the sum over entries, see Digest, ready how many don't drain.
 	digest uint64
+	ready  int
 	// vanished are upstreams that the store no longer has but that are still used,
 	// with the time until which they are.
 	vanished map[bundle.UpstreamID]kept
@@ -155,13 +156,7 @@
 			gone++
 		}
 	}
-	ready := 0
-	for _, e := range c.entries {
-		if !e.Draining {
-			ready++
-		}
-	}
-	if gone >= massLeast && float64(gone) >= massShare*float64(ready) {
+	if gone >= massLeast && float64(gone) >= massShare*float64(c.ready) {
 		c.StoreReturned(now)
 	}
 }
@@ -177,9 +172,9 @@
 			return false
 		}
 		if known {
-			c.digest -= old.digest()
+			c.count(&old, -1)
 		}
-		c.digest += ch.digest()
+		c.count(&ch.Registration, 1)
 		c.entries[ch.ID] = ch.Registration
 		c.changed[ch.ID] = struct{}{}
 		c.note(ch, asOf, now)
@@ -188,7 +183,7 @@
 	if !known {
 		return false
 	}
-	c.digest -= old.digest()
+	c.count(&old, -1)
 	delete(c.entries, ch.ID)
 	c.changed[ch.ID] = struct{}{}
 	c.note(Change{Registration: old, Gone: true}, asOf, now)
@@ -198,6 +193,14 @@
 	return true
 }
 
+// count keeps up what is known of all entries: one comes, or goes if n is -1.
+func (c *Catalog) count(r *Registration, n int) {
+	c.digest += uint64(n) * r.digest()
+	if !r.Draining {
+		c.ready += n
+	}
+}
+
 func (c *Catalog) note(ch Change, asOf objects.Revision, now time.Time) {
 	if len(c.log) == maxLog {
 		half := maxLog / 2
@@ -278,7 +281,8 @@
 			out = append(out, Change{Registration: Registration{ID: id}, Gone: true})
 		}
 	}
-	clear(c.changed)
+	// A new map: the old one may have room for the whole list, and clearing goes through it.
+	c.changed = make(map[bundle.UpstreamID]struct{})
 	return out
 }
 
