--- a/internal/process/carrier/members.go
+++ b/internal/process/carrier/members.go
@@ -232,10 +232,14 @@
 // JoinedAfter is when the last of them is over.
 const JoinedAfter = 6 * time.Second
 
-// firstAnswer bounds the first question to a seed. A daemon of the zone answers within
-// 10 ms, one of another zone within 20; if all hosts start at the same time, the
-// connection is refused at once, or the seed says that it knows nothing.
-const firstAnswer = 25 * time.Millisecond
+// firstAccept and firstAnswer bound the first question to a seed. One that has no power
+// doesn't accept the connection, and one that starts too refuses it or knows nothing, so
+// little is lost after a loss of power, when each millisecond counts. One that accepts
+// answers: on the users' smallest hosts within 60 ms.
+const (
+	firstAccept = 25 * time.Millisecond
+	firstAnswer = 120 * time.Millisecond
+)
 
 // askSeed asks one seed for everything before the store is read. Where daemons are
 // replaced one after the other, that saves each the lists of the store: four calls at
@@ -251,7 +255,7 @@
 	if len(seeds) == 0 {
 		return
 	}
-	if err := m.fetch(seeds[rand.IntN(len(seeds))], firstAnswer); err != nil {
+	if err := m.fetch(seeds[rand.IntN(len(seeds))], firstAccept, firstAnswer); err != nil {
 		klog.InfoS("No seed told what it knows, so the store is read", "Error", err.Error())
 	}
 }
