carrier: a daemon reports what its present children count

Each daemon passed on what it had been told, also by those that had reported to it while it was taken for the zone's reader; that one is cut off one way from 29 s on, so the zone's flows were counted twice again and again, and the zone seemed crowded. Change: only reports of those of whom the daemon is the parent are taken up. Test: without a network, fails without the guard.

--- a/internal/connection/peer/fanout.go
+++ b/internal/connection/peer/fanout.go
@@ -81,6 +81,10 @@
 	return zone[(place-1)/fanOut]
 }
 
+// Reporters returns the members whose reports this daemon takes up: those of which it is
+// the parent.
+func (v *View) Reporters() []*Member { return v.Children(TreeForward, v.ZoneReader()) }
+
 // placeIn turns a place in the order of readers into one in a tree, or back. The first
 // is the root of both.
 func placeIn(t Tree, place, n int) int {
--- a/internal/process/carrier/loads.go
+++ b/internal/process/carrier/loads.go
@@ -70,8 +70,12 @@
 	return out[:min(len(out), peer.MaxZones)]
 }
 
-// sum returns the reports of the last while added up, the busiest upstreams first.
-func (z *zoneLoads) sum(self peer.ID, now time.Time) *peer.Report {
+// sum returns this daemon's last report and those of its children added up, the busiest
+// upstreams first. Reports of others are left out: they were sent here while this daemon
+// was taken for their parent, and the parent that they have now counts them too. A zone
+// whose reader is cut off one way, and comes and goes in the others' view, would else
+// seem twice as busy as it is, and send its flows to other zones.
+func (z *zoneLoads) sum(self peer.ID, children []*peer.Member, now time.Time) *peer.Report {
 	z.mu.Lock()
 	defer z.mu.Unlock()
 	out := &peer.Report{From: self}
@@ -82,6 +86,9 @@
 			delete(z.told, id)
 			continue
 		}
+		if id != self && !slices.ContainsFunc(children, func(m *peer.Member) bool { return m.ID == id }) {
+			continue
+		}
 		for _, l := range t.report.Loads {
 			have := loads[l.Cookie]
 			loads[l.Cookie] = peer.Load{
@@ -139,7 +146,7 @@
 func (m *members) tellLoads(now time.Time) {
 	v := m.view.Load()
 	m.loads.put(m.c.ownReport(v.Self), now)
-	sum := m.loads.sum(v.Self, now)
+	sum := m.loads.sum(v.Self, v.Reporters(), now)
 	if p := v.Parent(); p != nil {
 		send(m, protocolReport, m.reports, sum, []*peer.Member{p})
 		return
@@ -174,9 +181,7 @@
 		m.passOn(r, v.Children(peer.TreeForward, false), now)
 	case len(r.Zones) > 0:
 		m.loads.putZone(r, now)
-	case !v.ReadsBefore(r.From):
-		// One that stands before this daemon can't be its child: they differ for a
-		// moment in who leaves, and each would count what the other counted.
+	default:
 		m.loads.put(r, now)
 	}
 }
--- /dev/null
+++ b/internal/process/carrier/loads_test.go
@@ -0,0 +1,47 @@
+package carrier
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/fescueshed/fescueshed/internal/connection/peer"
+)
+
+// A zone's reader is cut off one way, so the others take it for dead and alive by turns,
+// and report to it and to the next by turns. If the next passes on what it was told
+// before, each flow counts twice; the zone seems crowded, new flows go to other zones, and
+// a cut between them breaks those.
+var _ = Describe("The loads of a zone", func() {
+	now := time.Unix(1000, 0)
+	told := func(from peer.ID, flows uint32) *peer.Report {
+		return &peer.Report{
+			From: from, Loads: []peer.Load{{Cookie: 7, Flows: flows}},
+			Services: []peer.ServiceLoad{{Service: "feed", Flows: flows, Requests: 1}},
+		}
+	}
+	children := func(ids ...peer.ID) []*peer.Member {
+		out := make([]*peer.Member, 0, len(ids))
+		for _, id := range ids {
+			out = append(out, &peer.Member{ID: id})
+		}
+		return out
+	}
+
+	It("count those of a daemon and its children, not of former children", func() {
+		z := newZoneLoads()
+		z.put(told(1, 10), now)
+		z.put(told(2, 20), now)
+		z.put(told(3, 30), now)
+		Expect(z.sum(1, children(2, 3), now).Loads).To(Equal([]peer.Load{{Cookie: 7, Flows: 60}}))
+		Expect(z.sum(1, nil, now).Loads).To(Equal([]peer.Load{{Cookie: 7, Flows: 10}}))
+		Expect(z.sum(1, children(3), now).Services).To(Equal([]peer.ServiceLoad{{Service: "feed", Flows: 40, Requests: 2}}))
+	})
+
+	It("are forgotten when they are no longer told", func() {
+		z := newZoneLoads()
+		z.put(told(2, 20), now)
+		Expect(z.sum(1, children(2), now.Add(reportFor+1)).Loads).To(BeEmpty())
+	})
+})
