cookie: an upstream fails only if it fails more than its neighbours

A request whose flow routers move has no answer at the balancer that saw it begin; with routers by mod nearly all flows move, so a quarter of the upstreams of every zone was left out at each join or leave, without a fault of theirs. Change: an upstream's share of failures must be three times that of the others of its service, over the zone.

--- a/internal/connection/cookie/grey.go
+++ b/internal/connection/cookie/grey.go
@@ -35,6 +35,10 @@
 	// failedShare is the least share of the requests that failed. The users' failing
 	// upstreams fail two requests in five, or all.
 	failedShare = 0.25
+	// failedTimes is how much larger that share must be than that of the service's other
+	// upstreams. Requests whose flow routers move to another balancer seem to fail here;
+	// a rolling restart moves nearly all flows, so it looks alike at all upstreams.
+	failedTimes = 3
 	// ejectFor is how long an upstream is left out at first, doubled at each of the next
 	// ejections up to ejectTimes.
 	ejectFor   = 2 * time.Second
@@ -88,14 +92,21 @@
 	return out
 }
 
-// Judge takes in how requests ended over the whole zone and leaves out the upstreams
-// that fail too many, within ejectShare of those of their service in the zone. One
-// balancer alone sees too few requests of each upstream.
-func (e *Engine) Judge(list []peer.Load, now time.Time) []bundle.UpstreamID {
+// Judge takes in how requests ended over the whole zone, by upstream and by service, and
+// leaves out the upstreams that fail too many, within ejectShare of those of their
+// service in the zone. One balancer alone sees too few requests of each upstream.
+func (e *Engine) Judge(list []peer.Load, services []peer.ServiceLoad, now time.Time) []bundle.UpstreamID {
+	all := make(map[string]peer.ServiceLoad, len(services))
+	for _, s := range services {
+		all[s.Service] = s
+	}
 	var out []bundle.UpstreamID
 	for _, l := range list {
 		u := e.table.byCookie[Cookie(l.Cookie)]
-		if u == nil || !u.listed || now.Before(u.ejected) || !fails(l) || !e.mayEject(u, now) {
+		if u == nil || !u.listed || now.Before(u.ejected) {
+			continue
+		}
+		if !fails(l, all[u.Route.Service.Name]) || !e.mayEject(u, now) {
 			continue
 		}
 		u.ejections = min(u.ejections+1, ejectTimes)
@@ -106,9 +117,19 @@
 	return out
 }
 
-func fails(l peer.Load) bool {
-	total := float64(l.Failed + l.Answered)
-	return l.Failed >= failedLeast && float64(l.Failed) >= failedShare*total
+// fails reports whether an upstream fails too many requests, for itself and beside the
+// others of its service.
+func fails(l peer.Load, all peer.ServiceLoad) bool {
+	share := failedPart(l.Failed, l.Answered)
+	if l.Failed < failedLeast || share < failedShare {
+		return false
+	}
+	others := failedPart(all.Failed-min(all.Failed, l.Failed), all.Answered-min(all.Answered, l.Answered))
+	return share >= failedTimes*others
+}
+
+func failedPart(failed, answered uint32) float64 {
+	return float64(failed) / float64(max(1, failed+answered))
 }
 
 func (e *Engine) mayEject(u *Upstream, now time.Time) bool {
--- a/internal/connection/cookie/load.go
+++ b/internal/connection/cookie/load.go
@@ -45,8 +45,10 @@
 		for _, u := range list {
 			s.Flows += uint32(max(0, u.load.Flows.Load()))
 			s.Requests += uint32(max(0, u.load.Requests.Load()))
+			s.Answered += u.outcomes.answered + u.outcomes.lastAnswered
+			s.Failed += u.outcomes.failed + u.outcomes.lastFailed
 		}
-		if s.Flows > 0 {
+		if s.Flows+s.Answered+s.Failed > 0 {
 			out = append(out, s)
 		}
 	}
--- a/internal/connection/peer/news.go
+++ b/internal/connection/peer/news.go
@@ -89,13 +89,15 @@
 	return n.Bundle > version, n.AsOf >= asOf && n.Digest != digest
 }
 
-// ServiceLoad is how many flows of a service somebody counts, and how many requests
-// are in progress on them.
+// ServiceLoad is how many flows of a service somebody counts, how many requests are in
+// progress on them, and how requests ended in the last while.
 type ServiceLoad struct {
 	_        struct{} `cbor:",toarray"`
 	Service  string
 	Flows    uint32
 	Requests uint32
+
+	Answered, Failed uint32
 }
 
 // Report is what a member tells its parent, with what its children told it, up to the
--- a/internal/process/carrier/loads.go
+++ b/internal/process/carrier/loads.go
@@ -100,6 +100,7 @@
 			have := services[s.Service]
 			services[s.Service] = peer.ServiceLoad{
 				Service: s.Service, Flows: have.Flows + s.Flows, Requests: have.Requests + s.Requests,
+				Answered: have.Answered + s.Answered, Failed: have.Failed + s.Failed,
 			}
 		}
 		for _, d := range t.report.Dead {
@@ -211,7 +212,7 @@
 	}
 	c.engine.SetZones(r.Zones, now)
 	c.engine.Sample(r.Services)
-	for _, id := range c.engine.Judge(r.Loads, now) {
+	for _, id := range c.engine.Judge(r.Loads, r.Services, now) {
 		klog.InfoS("Upstream gets no new flows: too many requests fail", "ID", id)
 	}
 	c.engine.Board.Keep(nil)
