--- a/internal/process/carrier/carrier.go
+++ b/internal/process/carrier/carrier.go
@@ -137,6 +137,20 @@
 	return c.engine.Ready()
 }
 
+// awaitReady waits until the daemon knows enough to place flows, false if ctx ends before.
+func (c *Carrier) awaitReady(ctx context.Context) bool {
+	for {
+		if c.placesFlows() {
+			return true
+		}
+		select {
+		case <-ctx.Done():
+			return false
+		case <-time.After(startPoll):
+		}
+	}
+}
+
 // Version returns the version of the bundle in force, or zero.
 func (c *Carrier) Version() bundle.Version { return c.inForce.Version() }
 
--- a/internal/process/carrier/data.go
+++ b/internal/process/carrier/data.go
@@ -56,7 +56,7 @@
 // run reads packets until the socket is closed. Packets wait in the socket until
 // flows can be placed.
 func (d *data) run(ctx context.Context) {
-	if !d.awaitReady(ctx) {
+	if !d.c.awaitReady(ctx) {
 		return
 	}
 	buf := make([]byte, maxPacketBytes)
@@ -86,19 +86,6 @@
 	}
 }
 
-func (d *data) awaitReady(ctx context.Context) bool {
-	for {
-		if d.c.placesFlows() {
-			return true
-		}
-		select {
-		case <-ctx.Done():
-			return false
-		case <-time.After(startPoll):
-		}
-	}
-}
-
 func (d *data) paused(now time.Time) {
 	d.c.mu.Lock()
 	d.c.engine.Paused(now)
--- a/internal/process/carrier/members.go
+++ b/internal/process/carrier/members.go
@@ -101,22 +101,32 @@
 	c.members = m
 	ctx, cancel := context.WithCancel(ctx)
 	m.ctx = ctx
-	stopRPC, err := peer.ServeRPC(ctx, cfg.ControlAddress, jsonrpc2.HandlerWithError(m.handleRPC))
-	if err != nil {
-		cancel()
-		ports.Close()
-		return nil, err
-	}
 	ports.Start(m.datagram)
 	m.wg.Go(func() { m.join(ctx) })
+	m.wg.Go(func() { m.serve(ctx) })
 	return func() {
 		cancel()
-		stopRPC()
 		ports.Close()
 		m.wg.Wait()
 	}, nil
 }
 
+// serve answers the questions of others from when this daemon knows something. Until
+// then they are refused at once: after a loss of power all hosts ask the seeds, and those
+// that waited for a seed which starts too would serve some 100 ms later.
+func (m *members) serve(ctx context.Context) {
+	if !m.c.awaitReady(ctx) {
+		return
+	}
+	stop, err := peer.ServeRPC(ctx, m.c.cfg.Load().ControlAddress, jsonrpc2.HandlerWithError(m.handleRPC))
+	if err != nil {
+		klog.ErrorS(err, "Other daemons can't ask this one")
+		return
+	}
+	<-ctx.Done()
+	stop()
+}
+
 func (m *members) newCodecs(key []byte) error {
 	var err error
 	if m.swim, err = peer.NewCodec[peer.Message](key, peer.DomainMembership); err != nil {
