--- a/internal/process/story/story.go
+++ b/internal/process/story/story.go
@@ -45,10 +45,12 @@
 			return true
 		case l.Time.Before(from) || l.Time.After(to):
 			return false
+		case !hosts[l.Host]:
+			return false // The hosts that decided wrote down what they knew.
 		case slices.Contains(ofUpstream, l.Message):
 			return upstreams[l.Get("ID")]
 		}
-		return hosts[l.Host] && slices.Contains(ofHost, l.Message)
+		return slices.Contains(ofHost, l.Message)
 	})
 	last := &flow[len(flow)-1]
 	return Story{Lines: all, Meaning: meaning(last.Get("Cause"))}
--- a/internal/process/story/story_test.go
+++ b/internal/process/story/story_test.go
@@ -25,6 +25,10 @@
 I1202 20:00:40.000000    9 carrier.go:172] "Leaving" Flows=93
 `
 
+const logOfC = `
+I1202 20:00:12.300000    9 probe.go:63] "Upstream probed" ID="feb0eb55af" After="Dead" Result="Refused"
+`
+
 func parse(t *testing.T, logs map[string]string) []story.Line {
 	t.Helper()
 	var out []story.Line
@@ -48,7 +52,7 @@
 
 func TestStoryOfAFlowOverTwoHosts(t *testing.T) {
 	g := NewWithT(t)
-	s := story.Tell(parse(t, map[string]string{"a": logOfA, "b": logOfB}), "100.64.0.1:1030")
+	s := story.Tell(parse(t, map[string]string{"a": logOfA, "b": logOfB, "c": logOfC}), "100.64.0.1:1030")
 	g.Expect(messages(s)).To(Equal([]string{
 		"a: Bundle in force", "a: Flow placed", "b: Upstream probed", "b: Flow reset",
 	}))
