start: a list of one page by one call, no polls, metrics made when asked for

Cause: from the first word of the bundle to the first flow a start took 12 to 40 ms more: a stale page and then a watch for what it lacks, one after the other, and a wake-up each 5 ms of each part that waits; the names of the metrics took 3 ms before. Change: the first page of a list is a fresh one, so that a list of one page needs no watch; a closed channel instead of polls; the set of metrics is made at the first scrape. A test changed: the first call of a stale listing was wanted stale, which is now so only after a fresh one failed; both are tested, with what a listing lacks. A list of many pages costs one priced call more at a start.

--- a/internal/process/carrier/carrier.go
+++ b/internal/process/carrier/carrier.go
@@ -66,6 +66,9 @@
 	answered, probed metrics.Histogram
 	started          time.Time
 	leaving          atomic.Bool
+	// ready is closed when the daemon knows enough to place flows.
+	ready     chan struct{}
+	readyOnce sync.Once
 	// unusable counts stored objects that couldn't be used, each time they were read.
 	unusable  atomic.Uint64
 	departure departure
@@ -94,6 +97,7 @@
 		pauses:   timer.NewPauses(pauseLimit),
 		logs:     newDecisionLog(cfg.LogsPerSecond),
 		started:  time.Now(),
+		ready:    make(chan struct{}),
 		catalog:  registry.NewCatalog(),
 	}
 	c.engine = cookie.NewEngine(cookie.Options{
@@ -139,17 +143,21 @@
 	return c.engine.Ready()
 }
 
+// noteReady lets those go on that wait for the daemon to know enough to place flows. c.mu is
+// held.
+func (c *Carrier) noteReady() {
+	if c.engine.Ready() {
+		c.readyOnce.Do(func() { close(c.ready) })
+	}
+}
+
 // awaitReady waits until the daemon knows enough to place flows, false if ctx ends before.
 func (c *Carrier) awaitReady(ctx context.Context) bool {
-	for {
-		if c.placesFlows() {
-			return true
-		}
-		select {
-		case <-ctx.Done():
-			return false
-		case <-time.After(startPoll):
-		}
+	select {
+	case <-ctx.Done():
+		return false
+	case <-c.ready:
+		return true
 	}
 }
 
--- a/internal/process/carrier/data.go
+++ b/internal/process/carrier/data.go
@@ -34,8 +34,6 @@
 	// freshStart is how long packets may wait for a daemon that starts. Callers
 	// repeat a first packet after 200 ms, perhaps to another daemon.
 	freshStart = 200 * time.Millisecond
-	// startPoll is how often a daemon that starts looks whether it can place flows.
-	startPoll = 5 * time.Millisecond
 )
 
 func (c *Carrier) startData(ctx context.Context) (func(), error) {
--- a/internal/process/carrier/http.go
+++ b/internal/process/carrier/http.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"sync"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -23,10 +24,12 @@
 }
 
 func (c *Carrier) startMetrics(ctx context.Context) (func(), error) {
-	set := c.metricSet()
+	// The set is made when it is first asked for: its fifty names take a small host some
+	// milliseconds, while callers wait for it to start.
+	set := sync.OnceValue(c.metricSet)
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
-		set.WritePrometheus(w)
+		set().WritePrometheus(w)
 		c.writeHistograms(w)
 		c.writeRequests(w)
 		metrics.WriteProcessMetrics(w)
--- a/internal/process/carrier/store.go
+++ b/internal/process/carrier/store.go
@@ -124,9 +124,9 @@
 	return ch.AsOf, len(ch.List) > 0, nil
 }
 
-// listAll reads the whole list. A daemon that starts takes stale pages, and a watch
-// that doesn't wait then brings what they lack: when all hosts come back from a loss of
-// power, fresh ones are more than the store allows (300 hosts that list 3000 upstreams
+// listAll reads the whole list. A daemon that starts takes stale pages after the first, and
+// a watch that doesn't wait then brings what they lack: when all hosts come back from a loss
+// of power, fresh ones are more than the store allows (300 hosts that list 3000 upstreams
 // in pages of 50 are 18,000 calls). Any other daemon takes fresh pages: a store that
 // drops its history is stale and deaf at once, and the list would be taken for complete
 // though it lacks seconds.
@@ -137,6 +137,7 @@
 	for !f.listing.Done() {
 		p, err := f.feed.List(ctx, f.listing.Next())
 		if err != nil {
+			f.listing.Failed()
 			return 0, err
 		}
 		f.report(p.Findings, p.Objects)
@@ -144,7 +145,7 @@
 	}
 	s := f.listing.Snapshot()
 	late := objects.Changes[T]{AsOf: s.AsOf}
-	if f.listing.Stale {
+	if f.listing.Lacks() {
 		ch, err := f.feed.Watch(ctx, s.AsOf, 0)
 		if err != nil {
 			return 0, err
@@ -261,6 +262,7 @@
 		c.mu.Lock()
 		c.current = b
 		resets := c.engine.SetRouting(routing, time.Now())
+		c.noteReady()
 		c.mu.Unlock()
 		c.data.resets(resets)
 		return nil
@@ -349,6 +351,7 @@
 		c.confirmedList = at
 	}
 	c.engine.Confirm(at)
+	c.noteReady()
 }
 
 func (c *Carrier) confirmBundle(at time.Time) {
--- a/internal/version/objects/listing.go
+++ b/internal/version/objects/listing.go
@@ -5,23 +5,35 @@
 // of all calls, and would add to what the store is short of. It isn't safe for
 // concurrent use.
 type Listing[T any] struct {
-	// Stale says that pages may be some seconds old. A watch from the snapshot's
-	// revision brings what they lack.
-	Stale   bool
 	objects []Object[T]
 	asOf    Revision
 	next    string
 	begun   bool
+	// stale says that pages after the first may be some seconds old, staleFirst that the
+	// first may be, too. lacks says that one was.
+	stale, staleFirst, lacks bool
 }
 
-// NewListing begins a list.
-func NewListing[T any](stale bool) *Listing[T] { return &Listing[T]{Stale: stale} }
+// NewListing begins a list. If stale is set, all pages but the first may be some seconds old:
+// a list that fits one page is complete with a single call, and one of many pages costs the
+// store little. Most daemons that start are held up by nothing but these calls.
+func NewListing[T any](stale bool) *Listing[T] { return &Listing[T]{stale: stale} }
 
 // Done reports whether the last page has been taken in.
 func (l *Listing[T]) Done() bool { return l.begun && l.next == "" }
 
 // Next returns the options of the next call.
-func (l *Listing[T]) Next() ListOptions { return ListOptions{From: l.next, Stale: l.Stale} }
+func (l *Listing[T]) Next() ListOptions {
+	return ListOptions{From: l.next, Stale: l.stale && (l.begun || l.staleFirst)}
+}
+
+// Failed notes that the next call was made and failed. If that was the first page's, it may
+// be a stale one from now on: a store that is short of calls serves these.
+func (l *Listing[T]) Failed() { l.staleFirst = true }
+
+// Lacks reports whether a watch from the snapshot's revision is needed to bring what changed
+// since, as some page may be old.
+func (l *Listing[T]) Lacks() bool { return l.lacks }
 
 // Add takes in the next page.
 func (l *Listing[T]) Add(p Page[T]) {
@@ -30,6 +42,7 @@
 	if !l.begun || p.AsOf < l.asOf {
 		l.asOf = p.AsOf
 	}
+	l.lacks = l.lacks || l.Next().Stale
 	l.begun = true
 	l.objects = append(l.objects, p.Objects...)
 	l.next = p.Next
--- a/internal/version/objects/listing_test.go
+++ b/internal/version/objects/listing_test.go
@@ -22,7 +22,7 @@
 func TestListingGoesOnWithThePageThatFailed(t *testing.T) {
 	g := NewWithT(t)
 	l := objects.NewListing[int](true)
-	g.Expect(l.Next()).To(Equal(objects.ListOptions{Stale: true}))
+	g.Expect(l.Next()).To(Equal(objects.ListOptions{}))
 	l.Add(page(9, "b", "a", "b"))
 	g.Expect(l.Done()).To(BeFalse())
 	g.Expect(l.Next()).To(Equal(objects.ListOptions{From: "b", Stale: true}))
@@ -30,6 +30,33 @@
 	l.Add(page(9, "", "c"))
 	g.Expect(l.Done()).To(BeTrue())
 	g.Expect(l.Snapshot().Objects).To(HaveLen(3))
+	g.Expect(l.Lacks()).To(BeTrue(), "the second page may be old")
+}
+
+// All hosts come back from a loss of power and callers wait. At most installations the list
+// fits one page: with a stale one and a watch for what it lacks, each host asks twice, one
+// call after the other, and callers wait for two answers.
+func TestListingOfOnePageIsCompleteWithOneCall(t *testing.T) {
+	g := NewWithT(t)
+	l := objects.NewListing[int](true)
+	g.Expect(l.Next().Stale).To(BeFalse())
+	l.Add(page(9, "", "a"))
+	g.Expect(l.Done()).To(BeTrue())
+	g.Expect(l.Lacks()).To(BeFalse())
+}
+
+// A store that is short of calls refuses fresh pages and serves stale ones. A host that
+// insists on a fresh one never starts.
+func TestListingTakesAStaleFirstPageIfAFreshOneFailed(t *testing.T) {
+	g := NewWithT(t)
+	l := objects.NewListing[int](true)
+	l.Failed()
+	g.Expect(l.Next()).To(Equal(objects.ListOptions{Stale: true}))
+	l.Add(page(9, "", "a"))
+	g.Expect(l.Lacks()).To(BeTrue())
+	fresh := objects.NewListing[int](false)
+	fresh.Failed()
+	g.Expect(fresh.Next().Stale).To(BeFalse(), "a list that must be fresh stays so")
 }
 
 // Pages come from copies of the store that lag by different times. A watch from a
