emulator: patterns of load in virtual time, with the product's own decisions

Callers (copies, retries, deadlines, long flows and flows of one request), routers (hash, misses, rotation), hosts (loss of power, start, the exchange of loads), upstreams (slots, queue, shedding, warm-up, restart under their identifiers), and named policies that are compared with the same requests, among them one that sees all queues. The sum of a zone's reports and what an engine takes from it moved from the daemon to peer and cookie, so that both use one copy.

--- /dev/null
+++ b/internal/connection/peer/sum.go
@@ -0,0 +1,58 @@
+package peer
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+)
+
+// SumReports adds up what several daemons count, the busiest upstreams first, within the
+// limits of a Report.
+func SumReports(from ID, reports []*Report) *Report {
+	out := &Report{From: from}
+	loads := make(map[uint32]Load)
+	services := make(map[string]ServiceLoad)
+	for _, r := range reports {
+		for i := range r.Loads {
+			l := &r.Loads[i]
+			loads[l.Cookie] = l.plus(loads[l.Cookie])
+		}
+		for i := range r.Services {
+			s := &r.Services[i]
+			services[s.Service] = s.plus(services[s.Service])
+		}
+		for _, d := range r.Dead {
+			if !slices.Contains(out.Dead, d) && len(out.Dead) < MaxDead {
+				out.Dead = append(out.Dead, d)
+			}
+		}
+	}
+	out.Loads = TopLoads(slices.Collect(maps.Values(loads)))
+	for _, name := range slices.Sorted(maps.Keys(services)) {
+		if len(out.Services) < MaxServices {
+			out.Services = append(out.Services, services[name])
+		}
+	}
+	return out
+}
+
+// TopLoads returns the loads with most flows, as many as fit a report.
+func TopLoads(list []Load) []Load {
+	slices.SortFunc(list, func(a, b Load) int {
+		return cmp.Or(cmp.Compare(b.Flows, a.Flows), cmp.Compare(a.Cookie, b.Cookie))
+	})
+	return list[:min(len(list), MaxLoads)]
+}
+
+func (l *Load) plus(o Load) Load {
+	return Load{
+		Cookie: l.Cookie, Flows: l.Flows + o.Flows, Answered: l.Answered + o.Answered, Failed: l.Failed + o.Failed,
+	}
+}
+
+func (s *ServiceLoad) plus(o ServiceLoad) ServiceLoad {
+	return ServiceLoad{
+		Service: s.Service, Flows: s.Flows + o.Flows, Requests: s.Requests + o.Requests,
+		Answered: s.Answered + o.Answered, Failed: s.Failed + o.Failed,
+	}
+}
--- a/internal/process/carrier/loads.go
+++ b/internal/process/carrier/loads.go
@@ -1,17 +1,13 @@
 package carrier
 
 import (
-	"cmp"
-	"maps"
 	"slices"
 	"sync"
 	"time"
 
 	"k8s.io/klog/v2"
 
-	"github.com/fescueshed/fescueshed/internal/connection/cookie"
 	"github.com/fescueshed/fescueshed/internal/connection/peer"
-	"github.com/fescueshed/fescueshed/internal/connection/upstream"
 	"github.com/fescueshed/fescueshed/internal/version/bundle"
 )
 
@@ -78,68 +74,17 @@
 func (z *zoneLoads) sum(self peer.ID, children []*peer.Member, now time.Time) *peer.Report {
 	z.mu.Lock()
 	defer z.mu.Unlock()
-	out := &peer.Report{From: self}
-	loads := make(map[uint32]peer.Load)
-	services := make(map[string]peer.ServiceLoad)
+	var reports []*peer.Report
 	for id, t := range z.told {
 		if now.Sub(t.at) > reportFor {
 			delete(z.told, id)
 			continue
 		}
-		if id != self && !slices.ContainsFunc(children, func(m *peer.Member) bool { return m.ID == id }) {
-			continue
-		}
-		for _, l := range t.report.Loads {
-			have := loads[l.Cookie]
-			loads[l.Cookie] = peer.Load{
-				Cookie: l.Cookie, Flows: have.Flows + l.Flows,
-				Answered: have.Answered + l.Answered, Failed: have.Failed + l.Failed,
-			}
-		}
-		for _, s := range t.report.Services {
-			have := services[s.Service]
-			services[s.Service] = peer.ServiceLoad{
-				Service: s.Service, Flows: have.Flows + s.Flows, Requests: have.Requests + s.Requests,
-				Answered: have.Answered + s.Answered, Failed: have.Failed + s.Failed,
-			}
-		}
-		for _, d := range t.report.Dead {
-			if !slices.Contains(out.Dead, d) && len(out.Dead) < peer.MaxDead {
-				out.Dead = append(out.Dead, d)
-			}
+		if id == self || slices.ContainsFunc(children, func(m *peer.Member) bool { return m.ID == id }) {
+			reports = append(reports, t.report)
 		}
 	}
-	out.Loads = topLoads(slices.Collect(maps.Values(loads)))
-	for _, s := range services {
-		if len(out.Services) < peer.MaxServices {
-			out.Services = append(out.Services, s)
-		}
-	}
-	return out
-}
-
-// topLoads returns the loads with most flows, as many as fit a report.
-func topLoads(list []peer.Load) []peer.Load {
-	slices.SortFunc(list, func(a, b peer.Load) int {
-		return cmp.Or(cmp.Compare(b.Flows, a.Flows), cmp.Compare(a.Cookie, b.Cookie))
-	})
-	return list[:min(len(list), peer.MaxLoads)]
-}
-
-// zoneMember is the member under which Board keeps what the rest of the zone counts.
-const zoneMember upstream.MemberID = 1
-
-// ownReport returns what this daemon counts.
-func (c *Carrier) ownReport(self peer.ID) *peer.Report {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	dead, services := c.engine.Dead(), c.engine.Services()
-	return &peer.Report{
-		From:     self,
-		Loads:    topLoads(c.engine.Loads()),
-		Dead:     dead[:min(len(dead), peer.MaxDead)],
-		Services: services[:min(len(services), peer.MaxServices)],
-	}
+	return peer.SumReports(self, reports)
 }
 
 // tellLoads sends what this daemon and its children count to its parent, or the sum to
@@ -194,32 +139,21 @@
 	}
 }
 
-// takeLoads takes in the zone's sum: what is more than this daemon's own flows is
-// with the others.
-func (c *Carrier) takeLoads(r *peer.Report, now time.Time) {
+// ownReport returns what this daemon counts.
+func (c *Carrier) ownReport(self peer.ID) *peer.Report {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	ids := make([]bundle.UpstreamID, 0, len(r.Loads))
-	flows := make([]uint32, 0, len(r.Loads))
-	for _, l := range r.Loads {
-		id, ok := c.engine.Named(cookie.Cookie(l.Cookie))
-		if !ok {
-			continue // It isn't known here yet, or any more.
-		}
-		others := int64(l.Flows) - c.engine.Board.Load(id).Flows.Load()
-		ids = append(ids, id)
-		flows = append(flows, uint32(max(0, others)))
-	}
-	c.engine.SetZones(r.Zones, now)
-	c.engine.Sample(r.Services)
-	for _, id := range c.engine.Judge(r.Loads, r.Services, now) {
+	return c.engine.Report(self)
+}
+
+// takeLoads takes in the zone's sum.
+func (c *Carrier) takeLoads(r *peer.Report, now time.Time) {
+	c.mu.Lock()
+	ejected := c.engine.TakeSum(r, now)
+	c.mu.Unlock()
+	for _, id := range ejected {
 		klog.InfoS("Upstream gets no new flows: too many requests fail", "ID", id)
 	}
-	c.engine.Board.Keep(nil)
-	c.engine.Board.Heard(zoneMember, ids, flows)
-	for _, id := range r.Dead {
-		c.engine.Hint(id, now)
-	}
 }
 
 // tellFound tells the zone at once of an upstream that was found dead: the others
--- /dev/null
+++ b/internal/standin/emulator/host.go
@@ -0,0 +1,256 @@
+package emulator
+
+import (
+	"bytes"
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/fescueshed/fescueshed/internal/connection/cookie"
+	"github.com/fescueshed/fescueshed/internal/connection/peer"
+	"github.com/fescueshed/fescueshed/internal/version/bundle"
+	"github.com/fescueshed/fescueshed/internal/version/objects"
+	"github.com/fescueshed/fescueshed/internal/version/registry"
+)
+
+// host is a balancer: the product's decisions, with a queue of packets before them.
+type host struct {
+	w       *play
+	zone    *zone
+	id      peer.ID
+	engine  *cookie.Engine
+	catalog *registry.Catalog
+	// listens says that the process has its sockets open, ready that it places flows.
+	listens, ready bool
+	// life tells one start from the next, so that what was planned for the former doesn't
+	// happen to this one.
+	life int
+	// busyUntil is when the packets before have been decided.
+	busyUntil time.Duration
+	// waiting are packets that came while the process started.
+	waiting []arrival
+}
+
+// arrival is a packet that waits.
+type arrival struct {
+	at time.Duration
+	do func()
+}
+
+// Periods and limits of a daemon, as in package carrier.
+const (
+	loadsPeriod = 500 * time.Millisecond
+	awakePeriod = 50 * time.Millisecond
+	// freshStart is how long first packets may wait for a process that starts.
+	freshStart = 200 * time.Millisecond
+	// probeTimeout bounds one attempt to connect, probeTook is how long one takes.
+	probeTimeout = 250 * time.Millisecond
+	probeTook    = time.Millisecond
+	flowLifetime = time.Minute
+)
+
+func newHost(w *play, z *zone) *host {
+	return &host{w: w, zone: z, id: peer.ID(1 + z.index*maxHosts + len(z.hosts))}
+}
+
+// begin starts the host with all that the list has, as at the beginning of a play.
+func (h *host) begin() {
+	h.listens = true
+	h.boot()
+	h.w.every(h.w.jitter(awakePeriod), awakePeriod, func() {
+		if h.ready {
+			h.probe()
+		}
+	})
+	h.w.every(h.w.jitter(loadsPeriod), loadsPeriod, func() {
+		if h.ready {
+			h.engine.Expire(h.w.wall())
+			h.engine.Confirm(h.w.wall())
+		}
+	})
+}
+
+// boot makes the process ready, with an empty memory.
+func (h *host) boot() {
+	h.engine = cookie.NewEngine(cookie.Options{
+		Zone: h.zone.Name, Policy: h.w.opts.Policy.New(h.zone.Name, h.w), FlowLifetime: flowLifetime,
+	})
+	h.catalog = registry.NewCatalog()
+	now := h.w.wall()
+	h.engine.SetRouting(h.w.routing, now)
+	h.catalog.Replace(h.w.listed(), max(1, h.w.revision), now)
+	h.engine.Update(h.catalog.TakeChanges(), now)
+	h.engine.Confirm(now)
+	h.ready, h.busyUntil = true, h.w.now
+	waiting := h.waiting
+	h.waiting = nil
+	for _, a := range waiting {
+		if h.w.now-a.at <= freshStart {
+			a.do()
+		}
+	}
+}
+
+// fail takes the host's power. It starts again after a time.
+func (h *host) fail(down time.Duration) {
+	h.listens, h.ready, h.waiting = false, false, nil
+	h.life++
+	life := h.life
+	step := func(d time.Duration, do func()) {
+		h.w.after(d, func() {
+			if h.life == life {
+				do()
+			}
+		})
+	}
+	step(down+time.Duration(h.w.pattern.Hosts.Start), func() {
+		h.listens = true
+		step(time.Duration(h.w.pattern.Hosts.Load), h.boot)
+	})
+}
+
+// receive takes a caller's packet.
+func (h *host) receive(f *flow, p cookie.Packet) {
+	decide := func() { h.decide(f, &p) }
+	switch {
+	case !h.listens:
+	case !h.ready:
+		h.waiting = append(h.waiting, arrival{at: h.w.now, do: decide})
+	default:
+		life := h.life
+		h.busyUntil = max(h.busyUntil, h.w.now) + time.Duration(h.w.pattern.Hosts.Packet)
+		h.w.after(h.busyUntil-h.w.now, func() {
+			if h.life == life {
+				decide()
+			}
+		})
+	}
+}
+
+// decide does what the engine says of a packet.
+func (h *host) decide(f *flow, p *cookie.Packet) {
+	h.w.result.Packets++
+	v := h.engine.Decide(p, h.w.wall())
+	switch v.Action {
+	case cookie.ActionReset:
+		h.reset(f)
+	case cookie.ActionForward:
+		s := h.w.server(v.Upstream.Route.ID)
+		if s == nil || !reaches(h.zone, s.zone) {
+			return
+		}
+		first := *p
+		h.w.after(h.w.way(h.zone, s.zone), func() { s.receive(f, &first) })
+	case cookie.ActionDrop:
+	}
+}
+
+// reset tells the caller of a flow that it is over.
+func (h *host) reset(f *flow) {
+	h.w.after(time.Duration(h.w.pattern.Delays.Caller), f.reset)
+}
+
+// resets tells the callers of flows that ended without a packet. Engines return them in no
+// particular order, which must not decide what happens next.
+func (h *host) resets(list []cookie.Reset) {
+	slices.SortFunc(list, func(a, b cookie.Reset) int {
+		return cmp.Or(bytes.Compare(a.Key.CallerIP[:], b.Key.CallerIP[:]), cmp.Compare(a.Key.CallerPort, b.Key.CallerPort))
+	})
+	for i := range list {
+		if f := h.w.flow(list[i].Key); f != nil {
+			h.reset(f)
+		}
+	}
+}
+
+// learn takes in a changed entry.
+func (h *host) learn(ch registry.Change, asOf objects.Revision) {
+	if !h.ready {
+		return // It reads the whole list when it starts.
+	}
+	now := h.w.wall()
+	if h.catalog.Apply([]registry.Change{ch}, asOf, now) {
+		h.resets(h.engine.Update(h.catalog.TakeChanges(), now))
+	}
+}
+
+// probe looks at the upstreams that are doubted.
+func (h *host) probe() {
+	now := h.w.wall()
+	if h.catalog.Expire(now) {
+		h.resets(h.engine.Update(h.catalog.TakeChanges(), now))
+	}
+	due := h.engine.DueProbes(now)
+	slices.SortFunc(due, func(a, b cookie.Probe) int { return cmp.Compare(a.Upstream.ID, b.Upstream.ID) })
+	for _, pr := range due {
+		h.w.result.Probes++
+		h.ask(pr.Upstream.ID, now)
+	}
+}
+
+func (h *host) ask(id bundle.UpstreamID, sent time.Time) {
+	s, life := h.w.server(id), h.life
+	found, took := cookie.ProbeAlive, probeTook
+	if s == nil || s.dark || !reaches(h.zone, s.zone) {
+		found, took = cookie.ProbeTimeout, probeTimeout
+	}
+	h.w.after(took, func() {
+		if h.life != life || !h.ready {
+			return
+		}
+		before := h.engine.Health(id)
+		h.resets(h.engine.Probed(id, found, sent, h.w.wall()))
+		if before != cookie.HealthDead && h.engine.Health(id) == cookie.HealthDead {
+			h.tellFound(id)
+		}
+	})
+}
+
+// tellFound tells the zone of an upstream that was found dead.
+func (h *host) tellFound(id bundle.UpstreamID) {
+	for _, o := range h.zone.hosts {
+		if o != h && o.ready {
+			h.w.after(h.w.way(h.zone, h.zone), func() { o.engine.Hint(id, h.w.wall()) })
+		}
+	}
+}
+
+// exchange sums up what the hosts of a zone count and tells it to them, with the loads of
+// the other zones that it hears of.
+func (w *play) exchange(z *zone) {
+	var reports []*peer.Report
+	var first *host
+	for _, h := range z.hosts {
+		if !h.ready {
+			continue
+		}
+		if first == nil {
+			first = h
+		}
+		reports = append(reports, h.engine.Report(h.id))
+	}
+	if first == nil {
+		return
+	}
+	sum := peer.SumReports(first.id, reports)
+	for _, o := range w.zones {
+		if o != z && reaches(z, o) {
+			sum.Zones = append(sum.Zones, o.loads()...)
+		}
+	}
+	for _, h := range z.hosts {
+		if h.ready {
+			h.engine.TakeSum(sum, w.wall())
+		}
+	}
+}
+
+// loads returns what a zone tells others of its load.
+func (z *zone) loads() []peer.ZoneLoad {
+	for _, h := range z.hosts {
+		if h.ready {
+			return h.engine.OwnZone()
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/standin/emulator/queue.go
@@ -0,0 +1,102 @@
+package emulator
+
+import (
+	"cmp"
+	"time"
+)
+
+// heap is a binary heap that gives the least item first. The zero value is empty.
+type heap[T any] struct {
+	items []T
+	less  func(a, b *T) bool
+}
+
+func (h *heap[T]) push(x T) {
+	h.items = append(h.items, x)
+	for i := len(h.items) - 1; i > 0; {
+		parent := (i - 1) / 2
+		if !h.less(&h.items[i], &h.items[parent]) {
+			return
+		}
+		h.items[i], h.items[parent] = h.items[parent], h.items[i]
+		i = parent
+	}
+}
+
+func (h *heap[T]) pop() T {
+	first := h.items[0]
+	last := len(h.items) - 1
+	h.items[0] = h.items[last]
+	var none T
+	h.items[last] = none
+	h.items = h.items[:last]
+	h.sink(0)
+	return first
+}
+
+func (h *heap[T]) sink(i int) {
+	for {
+		least := i
+		for _, child := range [...]int{2*i + 1, 2*i + 2} {
+			if child < len(h.items) && h.less(&h.items[child], &h.items[least]) {
+				least = child
+			}
+		}
+		if least == i {
+			return
+		}
+		h.items[i], h.items[least] = h.items[least], h.items[i]
+		i = least
+	}
+}
+
+// event is something that is done at a time. Events of one time are done in the order in
+// which they were planned.
+type event struct {
+	at    time.Duration
+	order uint64
+	do    func()
+}
+
+// clock is virtual time with what is planned.
+type clock struct {
+	now    time.Duration
+	order  uint64
+	events heap[event]
+}
+
+func newClock() *clock {
+	return &clock{events: heap[event]{less: func(a, b *event) bool {
+		return cmp.Or(cmp.Compare(a.at, b.at), cmp.Compare(a.order, b.order)) < 0
+	}}}
+}
+
+// after plans something.
+func (c *clock) after(d time.Duration, do func()) {
+	c.order++
+	c.events.push(event{at: c.now + max(0, d), order: c.order, do: do})
+}
+
+// every plans something again and again, for the first time after a delay.
+func (c *clock) every(first, period time.Duration, do func()) {
+	c.after(first, func() {
+		do()
+		c.every(period, period, do)
+	})
+}
+
+// run does what is planned up to a time.
+func (c *clock) run(until time.Duration) {
+	for len(c.events.items) > 0 && c.events.items[0].at <= until {
+		e := c.events.pop()
+		c.now = e.at
+		e.do()
+	}
+	c.now = until
+}
+
+// epoch is the time of day at which each play begins, for what wants a time.Time.
+var epoch = time.Unix(1_764_720_000, 0)
+
+// wall returns the present moment for the engines.
+func (c *clock) wall() time.Time { return epoch.Add(c.now) }
