cookie: no new flow to a zone whose upstreams leave first packets unanswered

Hypothesis: flows leave a zone sooner now, so in a cut that comes with a burst they go into the cut, for as long as the word of the other zone's room is passed on: 2 s at the reader and 2 s at each member. Change: a copy of a first packet to another zone, while nothing is heard from there, keeps new flows in the own zone for 2 s; the word of another zone counts for two of its periods, 1.1 s, at the reader and at members.

--- a/internal/connection/cookie/engine.go
+++ b/internal/connection/cookie/engine.go
@@ -40,6 +40,7 @@
 	turned     time.Time
 	busy       map[string]busyness
 	zones      map[zoneService]zoneLoad
+	reaches    map[bundle.Zone]reach
 	candidates []upstream.Candidate
 	requests   map[string]*Requests
 	Board      *upstream.Board
@@ -71,6 +72,7 @@
 		unknown:   make(map[Cookie]time.Time),
 		busy:      make(map[string]busyness),
 		zones:     make(map[zoneService]zoneLoad),
+		reaches:   make(map[bundle.Zone]reach),
 		requests:  make(map[string]*Requests),
 		Board:     upstream.NewBoard(),
 	}
--- a/internal/connection/cookie/open.go
+++ b/internal/connection/cookie/open.go
@@ -27,6 +27,7 @@
 		return Verdict{Action: ActionForward, Cause: CauseRepeated, Upstream: f.up}
 	}
 	e.unanswered(f.up, now)
+	e.doubtZone(f.up.Route.Zone, now)
 	return e.placeAgain(p, f, r, now)
 }
 
@@ -82,7 +83,7 @@
 				Cold:  now.Before(u.coldUntil),
 				Busy:  busy,
 
-				ZoneFlows: e.zoneFlows(u),
+				ZoneFlows: e.zoneFlows(u, now),
 			})
 		}
 		if r := e.opts.Policy.Choose(e.candidates, seed); r != nil {
--- a/internal/connection/cookie/watch.go
+++ b/internal/connection/cookie/watch.go
@@ -43,6 +43,7 @@
 // alive notes a sign of life of an upstream.
 func (e *Engine) alive(u *Upstream, now time.Time) {
 	e.heard = now
+	e.zoneHeard(u.Route.Zone, now)
 	u.alive(now)
 }
 
--- a/internal/process/carrier/loads.go
+++ b/internal/process/carrier/loads.go
@@ -32,8 +32,14 @@
 	report *peer.Report
 }
 
-// reportFor is how long a report counts: four of its periods.
-const reportFor = 4 * sweepPeriod
+const (
+	// reportFor is how long a report counts: four of its periods.
+	reportFor = 4 * sweepPeriod
+	// zoneReportFor is how long the word of another zone counts: two of its periods and the
+	// way. A zone that is cut off is silent, and each new flow that goes there meanwhile is lost
+	// for 200 ms.
+	zoneReportFor = 2*sweepPeriod + 100*time.Millisecond
+)
 
 func newZoneLoads() *zoneLoads {
 	return &zoneLoads{told: make(map[peer.ID]toldLoads), others: make(map[peer.ID]toldZone)}
@@ -57,7 +63,7 @@
 	defer z.mu.Unlock()
 	var out []peer.ZoneLoad
 	for id, t := range z.others {
-		if now.Sub(t.at) > reportFor {
+		if now.Sub(t.at) > zoneReportFor {
 			delete(z.others, id)
 			continue
 		}
--- a/internal/process/carrier/loads_test.go
+++ b/internal/process/carrier/loads_test.go
@@ -39,6 +39,15 @@
 		Expect(z.sum(1, children(3), now).Services).To(Equal([]peer.ServiceLoad{{Service: "feed", Flows: 40, Requests: 2}}))
 	})
 
+	// A zone is cut off. Its reader's last word says that it has room, and new flows go there
+	// for as long as that word is passed on.
+	It("of another zone are told on for a second", func() {
+		z := newZoneLoads()
+		z.putZone(&peer.Report{From: 9, Zones: []peer.ZoneLoad{{Zone: "b", Service: "feed", Slots: 4}}}, now)
+		Expect(z.zones(now.Add(2*sweepPeriod))).To(HaveLen(1), "one report may be lost")
+		Expect(z.zones(now.Add(zoneReportFor + 1))).To(BeEmpty())
+	})
+
 	It("are forgotten when they are no longer told", func() {
 		z := newZoneLoads()
 		z.put(told(2, 20), now)
--- a/internal/standin/emulator/play.go
+++ b/internal/standin/emulator/play.go
@@ -167,7 +167,7 @@
 
 func (w *play) makeHosts() {
 	for _, z := range w.zones {
-		for range z.Zone.Hosts {
+		for range z.Hosts {
 			z.hosts = append(z.hosts, newHost(w, z))
 		}
 		for _, h := range z.hosts {
