--- a/internal/process/carrier/carrier.go
+++ b/internal/process/carrier/carrier.go
@@ -121,6 +121,7 @@
 	t.Subscribe(awakePeriod, c.awake)
 	t.Subscribe(memberTick, c.members.tick)
 	t.Subscribe(sweepPeriod, c.sweep)
+	t.Subscribe(peer.EagerPeriod, c.tellEagerly)
 	return stop, nil
 }
 
@@ -220,6 +221,13 @@
 	c.members.passed.forget(now)
 }
 
+// tellEagerly tells loads more often for a while after the start.
+func (c *Carrier) tellEagerly(now time.Time) {
+	if peer.TellsEagerly(now.Sub(c.started)) {
+		c.members.tellLoads(now)
+	}
+}
+
 // Leave serves on until routers have stopped sending packets here.
 func (c *Carrier) Leave() {
 	began := time.Now()
