--- a/cmd/fescueshed/burn.go
+++ b/cmd/fescueshed/burn.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"os"
 	"text/tabwriter"
@@ -36,7 +35,7 @@
 	if c.Objective <= 0 || c.Objective >= 1 {
 		return eris.Errorf("--objective is %v, want more than 0 and less than 1", c.Objective)
 	}
-	first, err := c.ask(ctx)
+	first, err := fetchAll(ctx, c.Admin, c.Timeout)
 	if err != nil {
 		return err
 	}
@@ -47,7 +46,7 @@
 			return nil
 		case <-time.After(c.Window):
 		}
-		next, err := c.ask(ctx)
+		next, err := fetchAll(ctx, c.Admin, c.Timeout)
 		if err != nil {
 			fmt.Fprintln(os.Stderr, err) // The others' words still say something.
 		}
@@ -63,21 +62,6 @@
 	return nil
 }
 
-// ask returns what the balancers tell. Those that don't answer are named by the error.
-func (c *burnCommand) ask(ctx context.Context) ([]status.Status, error) {
-	var out []status.Status
-	var errs []error
-	for _, a := range c.Admin {
-		s, err := fetchStatus(ctx, a, c.Timeout)
-		if err != nil {
-			errs = append(errs, fmt.Errorf("%s: %w", a, err))
-			continue
-		}
-		out = append(out, *s)
-	}
-	return out, errors.Join(errs...)
-}
-
 func (c *burnCommand) print(b *burnWindow) error {
 	if c.JSON {
 		return json.NewEncoder(os.Stdout).Encode(b)
--- a/cmd/fescueshed/report.go
+++ b/cmd/fescueshed/report.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"os"
 	"text/tabwriter"
@@ -21,27 +20,18 @@
 // Run asks all balancers and prints what they hold together. A balancer that
 // doesn't answer is named, and makes the command fail after the report.
 func (c *reportCommand) Run(ctx context.Context) error {
-	var all []status.Status
-	var errs []error
-	for _, a := range c.Admin {
-		s, err := fetchStatus(ctx, a, c.Timeout)
-		if err != nil {
-			errs = append(errs, fmt.Errorf("%s: %w", a, err))
-			continue
-		}
-		all = append(all, *s)
-	}
+	all, missing := fetchAll(ctx, c.Admin, c.Timeout)
 	r := status.Summarize(all)
 	if c.JSON {
 		if err := json.NewEncoder(os.Stdout).Encode(r); err != nil {
 			return err
 		}
-		return errors.Join(errs...)
+		return missing
 	}
 	if err := printSummary(&r); err != nil {
 		return err
 	}
-	return errors.Join(errs...)
+	return missing
 }
 
 func printSummary(r *status.Summary) error {
--- a/cmd/fescueshed/status.go
+++ b/cmd/fescueshed/status.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"os"
@@ -39,6 +40,21 @@
 	return status.Fetch(ctx, address)
 }
 
+// fetchAll asks all daemons. Those that don't answer are named by the error.
+func fetchAll(ctx context.Context, addresses []string, timeout time.Duration) ([]status.Status, error) {
+	var out []status.Status
+	var errs []error
+	for _, a := range addresses {
+		s, err := fetchStatus(ctx, a, timeout)
+		if err != nil {
+			errs = append(errs, fmt.Errorf("%s: %w", a, err))
+			continue
+		}
+		out = append(out, *s)
+	}
+	return out, errors.Join(errs...)
+}
+
 func printStatus(s *status.Status) error {
 	fmt.Printf("%s in %s: bundle %d (prepared by %s, approved by %s), %d flow records, %d open requests\n\n",
 		s.Name, s.Zone, s.Version, s.Prepared, s.Approved, s.Flows, s.OpenRequests)
--- a/internal/process/carrier/store.go
+++ b/internal/process/carrier/store.go
@@ -2,50 +2,18 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"sync"
 	"time"
 
-	"github.com/rotisserie/eris"
 	"k8s.io/klog/v2"
 
 	"github.com/fescueshed/fescueshed/internal/connection/cookie"
-	"github.com/fescueshed/fescueshed/internal/connection/peer"
 	"github.com/fescueshed/fescueshed/internal/process/logs"
 	"github.com/fescueshed/fescueshed/internal/version/bundle"
 	"github.com/fescueshed/fescueshed/internal/version/objects"
 	"github.com/fescueshed/fescueshed/internal/version/registry"
 )
 
-const (
-	// idlePoll is how often a daemon that doesn't read looks whether it should.
-	idlePoll = 100 * time.Millisecond
-	// batchPause lets further changes gather before the next watch: one call then
-	// brings many of them, and a storm of changes costs few calls.
-	batchPause = 150 * time.Millisecond
-)
-
-// follower keeps up with one kind of the store's objects.
-type follower[T any] struct {
-	c    *Carrier
-	feed objects.Feed[T]
-	name string
-	// long says that the kind may take many pages to list.
-	long bool
-	// list takes a whole list, changes what came after it. Both are told when the
-	// store answered.
-	list    func(objects.Snapshot[T], time.Time)
-	changes func(objects.Changes[T], time.Time)
-	// failed is since when calls fail; zero if they don't.
-	failed time.Time
-	// listing is the list in progress, nil if there is none. fresh says that the next
-	// must not be a stale one.
-	listing *objects.Listing[T]
-	fresh   bool
-	// lines bounds the lines about objects that can't be used.
-	lines *logs.Limiter
-}
-
 func (c *Carrier) startStore(ctx context.Context) (func(), error) {
 	ctx, cancel := context.WithCancel(ctx)
 	var wg sync.WaitGroup
@@ -74,165 +42,6 @@
 	return c.reading.Reads(rank, now) || !c.engine.Ready()
 }
 
-func (f *follower[T]) run(ctx context.Context) {
-	select {
-	case <-ctx.Done():
-		return
-	case <-f.c.members.asked:
-	}
-	// Zero means that the kind is to be listed.
-	var asOf objects.Revision
-	failures := 0
-	for ctx.Err() == nil {
-		if !f.c.reads(time.Now()) {
-			asOf, f.listing, failures = 0, nil, 0
-			sleep(ctx, idlePoll)
-			continue
-		}
-		next, changed, err := f.step(ctx, asOf)
-		switch {
-		case err == nil:
-			asOf, failures = next, 0
-			if changed {
-				f.c.members.tellNews(time.Now())
-				sleep(ctx, batchPause)
-			}
-		case eris.Is(err, objects.ErrHistoryGone):
-			klog.InfoS("Store dropped its history", "Kind", f.name, "AsOf", asOf)
-			asOf, f.listing, f.fresh = 0, nil, true
-		default:
-			f.fails(err)
-			sleep(ctx, peer.RetryPause(f.c.members.view.Load().ReaderRank(), failures, rand.Float64()))
-			failures++
-		}
-	}
-}
-
-// step lists or watches once and takes in what that brings.
-func (f *follower[T]) step(ctx context.Context, asOf objects.Revision) (objects.Revision, bool, error) {
-	if asOf == 0 {
-		next, err := f.listAll(ctx)
-		return next, err == nil, err
-	}
-	ch, err := f.feed.Watch(ctx, asOf, time.Duration(f.c.cfg.Load().WatchWait))
-	if err != nil {
-		return asOf, false, err
-	}
-	f.answered()
-	f.reportChanges(&ch)
-	f.changes(ch, time.Now())
-	return ch.AsOf, len(ch.List) > 0, nil
-}
-
-// listAll reads the whole list. A daemon that starts takes stale pages after the first, and
-// a watch that doesn't wait then brings what they lack: when all hosts come back from a loss
-// of power, fresh ones are more than the store allows (300 hosts that list 3000 upstreams
-// in pages of 50 are 18,000 calls). Any other daemon takes fresh pages: a store that
-// drops its history is stale and deaf at once, and the list would be taken for complete
-// though it lacks seconds.
-func (f *follower[T]) listAll(ctx context.Context) (objects.Revision, error) {
-	if f.listing == nil {
-		f.listing = objects.NewListing[T](f.long && !f.fresh && !f.c.placesFlows())
-	}
-	for !f.listing.Done() {
-		p, err := f.feed.List(ctx, f.listing.Next())
-		if err != nil {
-			f.listing.Failed()
-			return 0, err
-		}
-		f.report(p.Findings, p.Objects)
-		f.listing.Add(p)
-	}
-	s := f.listing.Snapshot()
-	late := objects.Changes[T]{AsOf: s.AsOf}
-	if f.listing.Lacks() {
-		ch, err := f.feed.Watch(ctx, s.AsOf, 0)
-		if err != nil {
-			return 0, err
-		}
-		f.reportChanges(&ch)
-		late = ch
-	}
-	f.listing, f.fresh = nil, false
-	f.answered()
-	now := time.Now()
-	f.list(s, now)
-	f.changes(late, now)
-	return late.AsOf, nil
-}
-
-// report counts the objects that can't be used and writes lines for them, within
-// unusableLines: a writer that replaces thousands of entries would else fill the logs of
-// every daemon that reads.
-func (f *follower[T]) report(findings []error, list []objects.Object[T]) {
-	for _, err := range findings {
-		f.unusable(err)
-	}
-	for i := range list {
-		if list[i].Err != nil {
-			f.unusable(list[i].Err)
-		}
-	}
-}
-
-func (f *follower[T]) reportChanges(ch *objects.Changes[T]) {
-	f.report(ch.Findings, nil)
-	for i := range ch.List {
-		if o := &ch.List[i].Object; o.Err != nil && !ch.List[i].Deleted {
-			f.unusable(o.Err)
-		}
-	}
-}
-
-// unusableLines is how many lines a second tell of unusable objects of one kind.
-const unusableLines = 5
-
-func (f *follower[T]) unusable(err error) {
-	f.c.unusable.Add(1)
-	if left, ok := f.lines.Allow(time.Now()); ok {
-		klog.ErrorS(err, "Stored object can't be used", "Kind", f.name, "LeftOut", left)
-	}
-}
-
-// fails notes that a call failed and asks a member of another zone: all of this one
-// may have lost the store while others reach it.
-func (f *follower[T]) fails(err error) {
-	if to := f.c.members.elsewhere(); to.IsValid() {
-		f.c.members.pull(to, false)
-	}
-	if f.failed.IsZero() {
-		f.failed = time.Now()
-		klog.ErrorS(err, "Store lost", "Kind", f.name)
-	}
-}
-
-// answered notes that the store answers. If it didn't for a while, to this daemon or
-// to those it heard of, its list may lack upstreams whose entries lapsed meanwhile.
-func (f *follower[T]) answered() {
-	now := time.Now()
-	f.c.mu.Lock()
-	if last := f.c.confirmedList; !last.IsZero() && now.Sub(last) > outageAfter {
-		f.c.catalog.StoreReturned(now)
-	}
-	f.c.mu.Unlock()
-	if !f.failed.IsZero() {
-		klog.InfoS("Store regained", "Kind", f.name, "After", now.Sub(f.failed))
-		f.failed = time.Time{}
-	}
-}
-
-// outageAfter is how long the store's word may be missing before entries that are
-// gone then are doubted. Upstreams' entries lapse after three heartbeats, 3.6 s;
-// the take-over of a reader takes less than this.
-const outageAfter = 2800 * time.Millisecond
-
-func sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
-
 func (c *Carrier) listBundles(s objects.Snapshot[bundle.Accepted], now time.Time) {
 	for i := range s.Objects {
 		if s.Objects[i].Err == nil {
