peer: the secret can be replaced while daemons run; a message is taken once

Cause: the one secret could be changed only by stopping all daemons, and a recorded message passed again: old news would look fresh, so that members wait for a reader of the store that is gone. Change: AcceptedSecrets in the settings, by SIGHUP; messages between daemons carry the sender's run and a number under the authentication code, with a window of 1024 (RFC 4303, section 3.4.3), 16 bytes a message. Answers to Catalog.Get carry no number; a daemon that just started takes the first number it hears of each sender (docs/OPERATING.md).

--- a/internal/process/capacity/cookie.go
+++ b/internal/process/capacity/cookie.go
@@ -195,7 +195,7 @@
 	*T
 	Check() error
 }](d peer.Domain, m P) int {
-	c, err := peer.NewCodec[T, P]([]byte(secret), d)
+	c, err := peer.NewNumbered[T, P](peer.Keys{Seal: []byte(secret)}, d)
 	if err != nil {
 		panic(err) // The options are constants.
 	}
--- a/internal/process/carrier/carrier.go
+++ b/internal/process/carrier/carrier.go
@@ -125,13 +125,17 @@
 	return stop, nil
 }
 
-// secret returns the key that daemons share.
-func secret(cfg *settings.Cookie) []byte {
-	if len(cfg.Secret) > 0 {
-		return cfg.Secret
+// keys returns the secrets that daemons share.
+func keys(cfg *settings.Cookie) peer.Keys {
+	k := peer.Keys{Seal: cfg.Secret}
+	if len(k.Seal) == 0 {
+		derived := sha256.Sum256([]byte(cfg.Store))
+		k.Seal = derived[:]
 	}
-	key := sha256.Sum256([]byte(cfg.Store))
-	return key[:]
+	for _, s := range cfg.AcceptedSecrets {
+		k.Accept = append(k.Accept, s)
+	}
+	return k
 }
 
 // Ready reports whether routers should send packets here.
@@ -266,6 +270,7 @@
 		return
 	}
 	c.platform.Store.SetBase(cfg.Store)
+	c.members.setKeys(keys(cfg))
 	c.cfg.Store(cfg)
 	klog.InfoS("Settings in force", "Store", cfg.Store, "Seeds", cfg.Seeds)
 }
--- a/internal/process/carrier/members.go
+++ b/internal/process/carrier/members.go
@@ -31,9 +31,9 @@
 	c       *Carrier
 	ctx     context.Context
 	ports   *udpport.Ports
-	swim    *peer.Codec[peer.Message, *peer.Message]
-	news    *peer.Codec[peer.News, *peer.News]
-	reports *peer.Codec[peer.Report, *peer.Report]
+	swim    *peer.Numbered[peer.Message, *peer.Message]
+	news    *peer.Numbered[peer.News, *peer.News]
+	reports *peer.Numbered[peer.Report, *peer.Report]
 	catalog *peer.Codec[peer.Catalog, *peer.Catalog]
 	loads   *zoneLoads
 	wg      sync.WaitGroup
@@ -76,7 +76,7 @@
 		c: c, loads: newZoneLoads(), passed: newStamps(), asked: make(chan struct{}), telling: make(chan struct{}, maxTold),
 	}
 	m.stamp.Store(uint64(c.started.UnixNano()))
-	if err := m.newCodecs(secret(cfg)); err != nil {
+	if err := m.newCodecs(keys(cfg)); err != nil {
 		return nil, err
 	}
 	ports, err := udpport.New(cfg.ControlAddress)
@@ -127,21 +127,32 @@
 	stop()
 }
 
-func (m *members) newCodecs(key []byte) error {
+func (m *members) newCodecs(k peer.Keys) error {
 	var err error
-	if m.swim, err = peer.NewCodec[peer.Message](key, peer.DomainMembership); err != nil {
+	if m.swim, err = peer.NewNumbered[peer.Message](k, peer.DomainNumberedMembership); err != nil {
 		return err
 	}
-	if m.news, err = peer.NewCodec[peer.News](key, peer.DomainNews); err != nil {
+	if m.news, err = peer.NewNumbered[peer.News](k, peer.DomainNews); err != nil {
 		return err
 	}
-	if m.reports, err = peer.NewCodec[peer.Report](key, peer.DomainReport); err != nil {
+	if m.reports, err = peer.NewNumbered[peer.Report](k, peer.DomainReport); err != nil {
 		return err
 	}
-	m.catalog, err = peer.NewCodec[peer.Catalog](key, peer.DomainCatalog)
+	m.catalog, err = peer.NewCodec[peer.Catalog](k.Seal, peer.DomainCatalog)
+	if err == nil {
+		m.catalog.SetKeys(k)
+	}
 	return err
 }
 
+// setKeys replaces the secrets that daemons share.
+func (m *members) setKeys(k peer.Keys) {
+	m.swim.SetKeys(k)
+	m.news.SetKeys(k)
+	m.reports.SetKeys(k)
+	m.catalog.SetKeys(k)
+}
+
 func (m *members) datagram(from netip.AddrPort, b []byte) {
 	m.in.Add(1)
 	m.inBytes.Add(uint64(len(b)))
@@ -173,7 +184,7 @@
 func receive[T any, P interface {
 	*T
 	Check() error
-}](c *peer.Codec[T, P], b []byte, handle func(P)) error {
+}](c *peer.Numbered[T, P], b []byte, handle func(P)) error {
 	msg, err := c.Decode(b)
 	if err != nil {
 		return err
@@ -186,7 +197,7 @@
 func send[T any, P interface {
 	*T
 	Check() error
-}](m *members, p protocol, c *peer.Codec[T, P], msg P, to []*peer.Member) {
+}](m *members, p protocol, c *peer.Numbered[T, P], msg P, to []*peer.Member) {
 	if len(to) == 0 {
 		return
 	}
--- a/internal/process/settings/cookie.go
+++ b/internal/process/settings/cookie.go
@@ -1,11 +1,14 @@
 package settings
 
 import (
+	"encoding/base64"
 	"fmt"
 	"net/netip"
 	"net/url"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/fescueshed/fescueshed/internal/version/bundle"
 	"github.com/fescueshed/fescueshed/internal/version/hujson"
 )
@@ -34,6 +37,9 @@
 	// is empty, a key that is the same on all hosts is derived from Store: enough
 	// against strays, not against attackers within the network.
 	Secret []byte
+	// AcceptedSecrets are read too, though nothing is written with them: the next Secret
+	// before it is one, and the last one until no daemon writes with it any more.
+	AcceptedSecrets []Secret
 	// CPUShare is the host's share of a core. Larger hosts read the store for others.
 	CPUShare float64
 	// FlowLifetime is how long a flow may live.
@@ -55,6 +61,16 @@
 	LogsPerSecond int
 }
 
+// Secret is a key in base64.
+type Secret []byte
+
+// UnmarshalText reads base64.
+func (s *Secret) UnmarshalText(b []byte) error {
+	v, err := base64.StdEncoding.DecodeString(string(b))
+	*s = v
+	return eris.Wrap(err, "want base64")
+}
+
 // DefaultsCookie returns the settings of a daemon that is told nothing else.
 func DefaultsCookie() Cookie {
 	return Cookie{
@@ -102,6 +118,11 @@
 	if n := len(s.Secret); n != 0 && n < minSecretBytes {
 		f.Add("Secret", "has %d bytes, want at least %d or none", n, minSecretBytes)
 	}
+	for i, a := range s.AcceptedSecrets {
+		if len(a) < minSecretBytes {
+			f.Add(fmt.Sprintf("AcceptedSecrets[%d]", i), "has %d bytes, want at least %d", len(a), minSecretBytes)
+		}
+	}
 	if s.CPUShare <= 0 || s.CPUShare > maxWorkers {
 		f.Add("CPUShare", "is %v, want more than 0 and at most %d", s.CPUShare, maxWorkers)
 	}
@@ -135,8 +156,8 @@
 	return s.ControlAddress
 }
 
-// Print returns the settings as JSON, the secret left out.
+// Print returns the settings as JSON, the secrets left out.
 func (s Cookie) Print() []byte {
-	s.Secret = nil
+	s.Secret, s.AcceptedSecrets = nil, nil
 	return printJSON(s)
 }
--- /dev/null
+++ b/internal/process/settings/cookie_test.go
@@ -0,0 +1,44 @@
+package settings_test
+
+import (
+	"strings"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/fescueshed/fescueshed/internal/process/settings"
+)
+
+const goodCookie = `{
+  "Name": "balancer-1",
+  "Zone": "a",
+  "DataAddress": "192.0.2.1:6081",
+  "ReadinessAddress": "192.0.2.1:6084",
+  "ControlAddress": "192.0.2.1:6082",
+  "MetricsAddress": "192.0.2.1:6083",
+  "Store": "http://192.0.2.9:7080",
+  "CPUShare": 0.1,
+  "Secret": "MDEyMzQ1Njc4OWFiY2RlZg==",
+  "AcceptedSecrets": ["ZmVkY2JhOTg3NjU0MzIxMA=="],
+}`
+
+var _ = Describe("Settings of a balancer by cookie", func() {
+	It("hold the secrets that are accepted, and print none", func() {
+		s, err := settings.DecodeCookie("f", []byte(goodCookie))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(s.AcceptedSecrets).To(Equal([]settings.Secret{settings.Secret("fedcba9876543210")}))
+		Expect(string(s.Print())).NotTo(Or(ContainSubstring("ZmVk"), ContainSubstring("MDEy"), ContainSubstring("fedcba")))
+	})
+
+	for name, tc := range map[string]struct{ old, new, want string }{
+		"accepted secret too short": {`ZmVkY2JhOTg3NjU0MzIxMA==`, `MDEy`, "f:11: AcceptedSecrets[0]: has 3 bytes"},
+		"accepted secret no base64": {`ZmVkY2JhOTg3NjU0MzIxMA==`, `!!`, "f:11: AcceptedSecrets[0]"},
+		"IPv6":                      {`192.0.2.1:6081`, `[2001:db8::1]:6081`, "f:4: DataAddress"},
+		"no share":                  {`0.1`, `0`, "f:9: CPUShare"},
+	} {
+		It("are refused with file, line and field: "+name, func() {
+			_, err := settings.DecodeCookie("f", []byte(strings.Replace(goodCookie, tc.old, tc.new, 1)))
+			Expect(err).To(MatchError(ContainSubstring(tc.want)))
+		})
+	}
+})
