start: the store is read first, a seed is asked if it doesn't answer

Hypothesis: with a list of one page the store tells all in some 15 ms, a seed on a tenth of a core in 25 to 35 ms, and one without power not at all within 25 ms; asking it first only delays the first flow. Change: followers read at once; a seed is asked after 40 ms if the daemon isn't ready, which is so when the store is away or turns the host away. A daemon that joins is told what was known of entries that can't be used: the store doesn't have it.

--- a/internal/process/carrier/follower.go
+++ b/internal/process/carrier/follower.go
@@ -43,11 +43,6 @@
 }
 
 func (f *follower[T]) run(ctx context.Context) {
-	select {
-	case <-ctx.Done():
-		return
-	case <-f.c.members.asked:
-	}
 	// Zero means that the kind is to be listed.
 	var asOf objects.Revision
 	failures := 0
--- a/internal/process/carrier/members.go
+++ b/internal/process/carrier/members.go
@@ -45,8 +45,6 @@
 	view atomic.Pointer[peer.View]
 	// pulling is set while everything is fetched from another daemon.
 	pulling atomic.Bool
-	// asked is closed when a seed has answered the first question, or didn't in time.
-	asked chan struct{}
 	// telling bounds how many others are told everything at once.
 	telling chan struct{}
 
@@ -73,7 +71,7 @@
 func (c *Carrier) startMembers(ctx context.Context) (func(), error) {
 	cfg := c.cfg.Load()
 	m := &members{
-		c: c, loads: newZoneLoads(), passed: newStamps(), asked: make(chan struct{}), telling: make(chan struct{}, maxTold),
+		c: c, loads: newZoneLoads(), passed: newStamps(), telling: make(chan struct{}, maxTold),
 	}
 	m.stamp.Store(uint64(c.started.UnixNano()))
 	if err := m.newCodecs(keys(cfg)); err != nil {
@@ -253,18 +251,25 @@
 // JoinedAfter is when the last of them is over.
 const JoinedAfter = 6 * time.Second
 
-// firstAnswer bounds the first question to a seed. A daemon with a core to itself answers
-// within 10 ms; one that has no power doesn't, one that starts too refuses. After a loss
-// of power each millisecond counts: with 60 ms the first two seconds served 0.02 less, and
-// with 120 ms for seeds that accept 0.05 less at 78 hosts, since a seed that is ready first
-// is asked by all others at once.
-const firstAnswer = 25 * time.Millisecond
-
-// askSeed asks one seed for everything before the store is read. Where daemons are
-// replaced one after the other, that saves each the lists of the store: four calls at
-// 150 upstreams, 61 at 3000.
-func (m *members) askSeed() {
-	defer close(m.asked)
+const (
+	// storeFirst is how long a daemon that starts waits for the store alone. Its lists are there
+	// after some 15 ms on a host with a tenth of a core; a seed of that size takes 25 to 35 ms
+	// to tell as much.
+	storeFirst = 40 * time.Millisecond
+	// seedAnswer bounds the question to a seed.
+	seedAnswer = 200 * time.Millisecond
+)
+
+// askSeed asks one seed for everything if the store hasn't told it: it is away, or turns this
+// host away. Callers wait for either.
+func (m *members) askSeed(ctx context.Context) {
+	select {
+	case <-m.c.ready:
+		return
+	case <-ctx.Done():
+		return
+	case <-time.After(storeFirst):
+	}
 	var seeds []netip.AddrPort
 	for _, s := range m.c.cfg.Load().Seeds {
 		if s != m.c.cfg.Load().Announced() {
@@ -274,15 +279,15 @@
 	if len(seeds) == 0 {
 		return
 	}
-	if err := m.fetch(seeds[rand.IntN(len(seeds))], firstAnswer); err != nil {
-		klog.InfoS("No seed told what it knows, so the store is read", "Error", err.Error())
+	if err := m.fetch(seeds[rand.IntN(len(seeds))], seedAnswer); err != nil {
+		klog.InfoS("No seed told what it knows", "Error", err.Error())
 	}
 }
 
 // join fetches what others know: the bundle, upstreams and members. A daemon that
 // the store turns away starts by that.
 func (m *members) join(ctx context.Context) {
-	m.askSeed()
+	m.askSeed(ctx)
 	for _, after := range joinAfter {
 		sleep(ctx, after/2+rand.N(after)-time.Since(m.c.started))
 		if to := m.anyone(); to.IsValid() && ctx.Err() == nil {
--- a/internal/process/carrier/news.go
+++ b/internal/process/carrier/news.go
@@ -295,11 +295,17 @@
 		return out
 	}
 	out.Known, out.Age = true, now.Sub(known)
+	if params.Joining {
+		out.Changes = c.catalog.Remembered()
+		out.Changed = len(out.Changes) > 0
+	}
 	if params.AsOf == out.AsOf && params.Digest == c.catalog.Digest() || params.AsOf > out.AsOf {
 		return out
 	}
+	out.Changed = false
 	if !params.Whole {
-		out.Changes, out.Changed = c.catalog.Since(params.AsOf)
+		changes, ok := c.catalog.Since(params.AsOf)
+		out.Changes, out.Changed = append(out.Changes, changes...), ok
 	}
 	if !out.Changed {
 		out.Listed = true
--- a/internal/version/registry/catalog.go
+++ b/internal/version/registry/catalog.go
@@ -289,6 +289,19 @@
 	return out, true
 }
 
+// Remembered returns the entries that can't be used, with what was known of them before. A
+// daemon that started since reads in the store that they can't be used, and can't know where
+// the open flows of their upstreams go.
+func (c *Catalog) Remembered() []Change {
+	var out []Change
+	for _, id := range slices.Sorted(maps.Keys(c.entries)) {
+		if r := c.entries[id]; r.Unusable && r.Known() {
+			out = append(out, Change{Registration: r})
+		}
+	}
+	return out
+}
+
 // Digest is a sum over the store's entries, their revisions and whether they can be used.
 // Two catalogs with one digest hold the same entries of the same incarnations, so a member
 // sees without the list whether it lacks something. Vanished entries don't count: daemons
