What the mechanisms buy, as the ablation measured it

Comments only: hints, probes, copies to another upstream, loads of others, cold weight, the own zone first, departure.

--- a/internal/connection/cookie/watch.go
+++ b/internal/connection/cookie/watch.go
@@ -47,7 +47,8 @@
 	u.alive(now)
 }
 
-// unanswered notes that a caller repeated a packet that went to an upstream. It
+// unanswered notes that a caller repeated a packet that went to an upstream. On days on which
+// upstreams fall silent this and the probes are worth 0.005 to 0.02 of all requests. It
 // says nothing while no upstream at all is heard: then this host is slow or cut off,
 // or its link is full.
 func (e *Engine) unanswered(u *Upstream, now time.Time) {
@@ -140,7 +141,9 @@
 }
 
 // Hint notes that another balancer found an upstream dead. It is looked at, not
-// believed: that balancer may be the one that is cut off.
+// believed: that balancer may be the one that is cut off. With few hosts each finds out by
+// itself; where each host sees few flows, hints save two thirds of the requests that a crash
+// makes late (emulator, wide, 300 hosts: 347 in place of 1060).
 func (e *Engine) Hint(id bundle.UpstreamID, now time.Time) {
 	u := e.upstreams[id]
 	if u != nil && u.listed && u.health == HealthGood && now.Sub(u.checked) >= checkedFor {
--- a/internal/connection/upstream/zoned.go
+++ b/internal/connection/upstream/zoned.go
@@ -9,8 +9,9 @@
 
 // Zoned places new flows in the daemon's own zone as long as its upstreams there have
 // room, and in another zone while they are crowded and that one isn't: what crosses
-// zones is what a cut between them breaks, and its bytes are paid for. It takes the
-// least loaded of a few candidates that it draws. It isn't safe for concurrent use.
+// zones is what a cut between them breaks, and its bytes are paid for: placing in all zones
+// alike costs 0.003 to 0.007 of a day with a cut. It takes the least loaded of a few
+// candidates that it draws. It isn't safe for concurrent use.
 type Zoned struct {
 	zone    bundle.Zone
 	choices int
@@ -29,7 +30,9 @@
 }
 
 // coldFlows is how many flows more an upstream counts while it is slow after its
-// start, so that a newcomer isn't given all new flows in its slow seconds.
+// start, so that a newcomer isn't given all new flows in its slow seconds. It buys one
+// request of 9,500 in a rolling replacement (emulator), and nothing that could be measured on
+// the users' days.
 const coldFlows = 2
 
 // When new flows cross zones. At a utilization of 0.8, requests of the users'
