--- a/internal/standin/metadata/objects.go
+++ b/internal/standin/metadata/objects.go
@@ -23,6 +23,9 @@
 	})
 }
 
+// Spec returns an entry's content as it is stored.
+func Spec(s *wire.Server) string { return string(encode(s)) }
+
 // Lapse removes an upstream's entry.
 func (s *Store) Lapse(id bundle.UpstreamID) { s.Delete(wire.KindServers, EntryName(id)) }
 
--- a/internal/standin/world/servers.go
+++ b/internal/standin/world/servers.go
@@ -68,15 +68,10 @@
 // CrashServer ends an upstream at once; its entry lapses later. If reuse is set, an
 // upstream of the other service then starts at its address.
 func (w *World) CrashServer(reuse bool) bool {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	s := w.pick()
+	s := w.crash()
 	if s == nil {
 		return false
 	}
-	s.crashed, s.crashing = true, time.Now()
-	s.end()
-	w.drop(s)
 	time.AfterFunc(lapseAfter, func() {
 		w.Store.Lapse(s.ID)
 		if reuse {
@@ -90,15 +85,10 @@
 // RestartServer ends an upstream as a crash does and starts it again a while later under its
 // identifier, at its address. It knows nothing of the flows of before.
 func (w *World) RestartServer(after time.Duration) bool {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	s := w.pick()
+	s := w.crash()
 	if s == nil {
 		return false
 	}
-	s.crashed, s.crashing = true, time.Now()
-	s.end()
-	w.drop(s)
 	time.AfterFunc(after, func() {
 		w.mu.Lock()
 		defer w.mu.Unlock()
@@ -109,6 +99,20 @@
 	return true
 }
 
+// crash ends any upstream that may go at once, and returns it, or nil.
+func (w *World) crash() *Server {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	s := w.pick()
+	if s == nil {
+		return nil
+	}
+	s.crashed, s.crashing = true, time.Now()
+	s.end()
+	w.drop(s)
+	return s
+}
+
 func other(service string) string {
 	if service == ServiceFeed {
 		return ServiceSheets
