cookie: no flow is reset that an upstream took while its former entry still stood

Cause, found in reading: flows that were placed 5 s before the last confirmed list were taken for those of the former incarnation. In an outage of the store an upstream that starts again serves flows under its former entry for as long as the outage lasts, and after its entry lapsed for as long as it doesn't reach the store. Both would have been reset while they were served. Change: the time is that of the entry's lapse, or of the last confirmation before a gap, for 7 s after one; the lag is 7 s.

--- a/internal/connection/cookie/engine.go
+++ b/internal/connection/cookie/engine.go
@@ -34,6 +34,7 @@
 	unknown map[Cookie]time.Time
 	// confirmed is the time at which the list was last known to be complete.
 	confirmed time.Time
+	steady    steadiness
 	// heard is when any upstream last showed a sign of life.
 	heard time.Time
 	// turned is when the windows of outcomes last turned.
@@ -199,6 +200,7 @@
 // Confirm notes that the list was complete at a time.
 func (e *Engine) Confirm(at time.Time) {
 	if at.After(e.confirmed) {
+		e.steady.confirmed(at, e.confirmed)
 		e.confirmed = at
 	}
 }
--- a/internal/connection/cookie/restart.go
+++ b/internal/connection/cookie/restart.go
@@ -6,12 +6,46 @@
 	"github.com/fescueshed/fescueshed/internal/version/registry"
 )
 
-// registrationLag is how long an upstream that started may take until the store has its new
-// entry: three heartbeats of 1.2 s at the users' installations, after which the former entry
-// would have lapsed, and the time of two watches. Flows that were placed longer ago than
-// this, before the last moment when the list still had the former entry, were open in the
-// former incarnation.
-const registrationLag = 5 * time.Second
+const (
+	// registrationLag is how long an upstream that started may take until its new entry is in a
+	// store that it reaches, or its former one has lapsed: three heartbeats of 1.2 s at the
+	// users' installations, 2.5 s for which a lapsed entry may still be kept, and the time of a
+	// watch.
+	registrationLag = 7 * time.Second
+	// steadyGap is the time between two confirmations of the list from which on the store
+	// counts as having been away. They come each half second.
+	steadyGap = 1500 * time.Millisecond
+)
+
+// steadiness is what is known of how long the list has been confirmed without a gap.
+type steadiness struct {
+	// since is when the present run of confirmations began, before the last confirmation of
+	// the run before it, zero if there was none.
+	since, before time.Time
+}
+
+// confirmed takes in a confirmation, and when the one before it was.
+func (s *steadiness) confirmed(at, last time.Time) {
+	if at.Sub(last) > steadyGap {
+		s.since, s.before = at, last
+	}
+}
+
+// ranBefore returns a time before which only the former incarnation of an upstream can have run
+// whose entry shows a new one: the list told the former entry up to then. While a store was
+// away, and for as long after as an upstream has to write its entry again, the list tells
+// nothing of the kind: upstreams that started again meanwhile served flows under their former
+// entries, and a reset would break those.
+func (e *Engine) ranBefore(u *Upstream) time.Time {
+	last := e.confirmed
+	if !u.listed && u.goneAt.Before(last) {
+		last = u.goneAt
+	}
+	if last.Sub(e.steady.since) < registrationLag {
+		last = e.steady.before
+	}
+	return last.Add(-registrationLag)
+}
 
 // restarted takes in that an upstream started again under its identifier. What was learned of
 // the former incarnation says nothing of the new one: a dead one would get no flow, an
@@ -25,7 +59,7 @@
 // nothing.
 func (e *Engine) restarted(u *Upstream, r *registry.Registration, certain bool, now time.Time) []Reset {
 	e.Counters.Restarts++
-	surely := e.confirmed.Add(-registrationLag)
+	surely := e.ranBefore(u)
 	if u.Route.Service.Name != r.Service {
 		surely = now // The new incarnation would take them for flows of its own service.
 	}
