bundle: an operator whose write was answered late learns that it was in force

Cause: roll finds a write again whose answer was lost by the operation id in the head. If another bundle was rolled before it asked, the head had that one's, and the operator was told that theirs never was in force, though it had been. Change: a bundle carries the operation ids of up to 64 before it; prepare fills them in. They aren't signed, daemons don't use them.

--- a/internal/process/operator/bundle.go
+++ b/internal/process/operator/bundle.go
@@ -28,10 +28,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &bundle.Signed{Version: 1, PreparedBy: by, OperationID: rand.Text(), Content: src}
-	if head != nil {
-		s.Version = head.Version + 1
-	}
+	s := head.Successor(by, rand.Text(), src)
 	return s, eris.Wrap(os.WriteFile(to, s.Encode(), fileMode), "bundle")
 }
 
--- a/internal/version/bundle/signed.go
+++ b/internal/version/bundle/signed.go
@@ -5,6 +5,7 @@
 	"crypto/sha256"
 	"encoding/binary"
 	"encoding/json"
+	"slices"
 
 	"github.com/rotisserie/eris"
 )
@@ -31,12 +32,37 @@
 	ApprovedBy string
 	// OperationID lets an operator find a write again whose answer was lost.
 	OperationID string
+	// Earlier are the operation ids of the bundles that were in force before, the latest last,
+	// maxEarlier at most. An operator whose write was answered late finds it here though another
+	// bundle was rolled since; without them they are told that theirs never was in force. They
+	// aren't signed: daemons don't use them.
+	Earlier []string `json:",omitempty"`
 	// Content is the bundle as the preparer wrote it, JSON with comments.
 	Content []byte
 	// Signature is the approver's ed25519 signature (RFC 8032).
 	Signature []byte
 }
 
+// maxEarlier is more bundles than a team rolls in the minute for which a roll is tried.
+const maxEarlier = 64
+
+// Successor returns an unsigned bundle that follows s, or the first one if s is nil.
+func (s *Signed) Successor(by, operationID string, content []byte) *Signed {
+	next := &Signed{Version: 1, PreparedBy: by, OperationID: operationID, Content: content}
+	if s == nil {
+		return next
+	}
+	next.Version = s.Version + 1
+	next.Earlier = append(slices.Clone(s.Earlier), s.OperationID)
+	next.Earlier = next.Earlier[max(0, len(next.Earlier)-maxEarlier):]
+	return next
+}
+
+// Had reports whether the bundle of an operation was in force, now or before.
+func (s *Signed) Had(operationID string) bool {
+	return s.OperationID == operationID || slices.Contains(s.Earlier, operationID)
+}
+
 // Sign approves content as version v with the approver's private key.
 func Sign(s Signed, key ed25519.PrivateKey) (*Signed, error) {
 	if err := s.check(); err != nil {
--- a/internal/version/platform/platform_test.go
+++ b/internal/version/platform/platform_test.go
@@ -78,6 +78,35 @@
 		Expect(v).To(BeEquivalentTo(1), "it was written once")
 	})
 
+	// The answer of an operator's write was lost, and another operator rolled the next version
+	// before they asked again. They are told that theirs never was in force.
+	It("finds a write again though another bundle was rolled since", func() {
+		first := signed(1, "first")
+		Expect(c.Roll(ctx, first, time.Millisecond)).To(Succeed())
+		head, _, err := c.Head(ctx)
+		Expect(err).NotTo(HaveOccurred())
+		second := head.Successor("preparer", "second", first.Content)
+		second.ApprovedBy = "approver"
+		Expect(c.Roll(ctx, second, time.Millisecond)).To(Succeed())
+		Expect(c.Roll(ctx, first, time.Millisecond)).To(Succeed())
+		Expect(c.Roll(ctx, signed(1, "never"), time.Millisecond)).To(MatchError(platform.ErrRaced))
+		head, _, err = c.Head(ctx)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(head.OperationID).To(Equal("second"))
+	})
+
+	It("remembers the operations of a bounded number of bundles", func() {
+		var head *bundle.Signed
+		for i := range 100 {
+			head = head.Successor("preparer", fmt.Sprint(i), []byte("{}"))
+		}
+		Expect(head.Version).To(BeEquivalentTo(100))
+		Expect(head.Had("99")).To(BeTrue())
+		Expect(head.Had("50")).To(BeTrue())
+		Expect(head.Had("10")).To(BeFalse())
+		Expect(head.Earlier).To(HaveLen(64))
+	})
+
 	// Two operators roll different bundles at the same time, and both are told
 	// that theirs is in force.
 	It("lets one of several racing operators win and tells the others who did", func() {
