--- a/internal/process/experiment/page.go
+++ b/internal/process/experiment/page.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"fmt"
 	"html/template"
 	"io"
 	"strings"
@@ -125,6 +124,3 @@
 	}
 	return svg
 }
-
-// String names the report in a line.
-func (r *Report) String() string { return fmt.Sprintf("%d rows of %d seeds", len(r.Rows), r.Seeds) }
