--- a/internal/connection/cookie/load.go
+++ b/internal/connection/cookie/load.go
@@ -15,7 +15,7 @@
 
 const (
 	// busySmoothing is the weight of one sample. Samples come each half second, so
-	// about five seconds count.
+	// about five seconds count; in the first two seconds of a daemon they come sooner.
 	busySmoothing = 0.1
 	// busyLeast is the number of flows below which a sample says too little.
 	busyLeast = 20
@@ -55,8 +55,8 @@
 	return out
 }
 
-// Sample takes in what the whole zone counts of each service. It is called each half
-// second. One balancer's flows would say too little: with fifty of them, the requests
+// Sample takes in what the whole zone counts of each service, as often as loads are
+// told. One balancer's flows would say too little: with fifty of them, the requests
 // in progress vary by a half from sample to sample.
 func (e *Engine) Sample(list []peer.ServiceLoad) {
 	for _, s := range list {
--- a/internal/standin/emulator/caller.go
+++ b/internal/standin/emulator/caller.go
@@ -110,9 +110,11 @@
 	t := &try{request: r}
 	r.try = t
 	p := r.class.pools[r.zone.index]
-	if f := p.take(r.zone.Flows); r.class.Long && f != nil {
-		t.send(f)
-		return
+	if r.class.Long {
+		if f := p.take(r.zone.Flows); f != nil {
+			t.send(f)
+			return
+		}
 	}
 	p.open++
 	r.class.w.open(t)
