--- a/internal/connection/cookie/upstream.go
+++ b/internal/connection/cookie/upstream.go
@@ -104,9 +104,6 @@
 	return !now.Before(u.ejected) && u.usable()
 }
 
-// Entry returns the list's latest entry of the upstream that could be used.
-func (u *Upstream) Entry() registry.Registration { return u.entry }
-
 // readable reports whether the list has an entry of it that can be used.
 func (u *Upstream) readable() bool { return u.listed && !u.entry.Unusable && u.strange == nil }
 
