--- a/internal/connection/cookie/bench_test.go
+++ b/internal/connection/cookie/bench_test.go
@@ -82,15 +82,21 @@
 	}
 }
 
-// BenchmarkUpstreams takes in a change of one of 3000 upstreams.
-func BenchmarkUpstreams(b *testing.B) {
-	gomega.RegisterTestingT(b)
+// registrations3000 returns 3000 upstreams, 30 at each of 100 addresses.
+func registrations3000() []registry.Registration {
 	list := registrations(100)
 	for i := range 2900 {
 		r := list[i%100]
 		r.ID = bundle.UpstreamID(0xdef0000 + i)
 		list = append(list, r)
 	}
+	return list
+}
+
+// BenchmarkUpstreams takes in a change of one of 3000 upstreams.
+func BenchmarkUpstreams(b *testing.B) {
+	gomega.RegisterTestingT(b)
+	list := registrations3000()
 	e := newEngine(list)
 	b.ReportAllocs()
 	for b.Loop() {
@@ -102,12 +108,7 @@
 // BenchmarkReplaced replaces one of 3000 upstreams by another.
 func BenchmarkReplaced(b *testing.B) {
 	gomega.RegisterTestingT(b)
-	list := registrations(100)
-	for i := range 2900 {
-		r := list[i%100]
-		r.ID = bundle.UpstreamID(0xdef0000 + i)
-		list = append(list, r)
-	}
+	list := registrations3000()
 	e := newEngine(list)
 	b.ReportAllocs()
 	now := start
--- a/internal/connection/cookie/dead_test.go
+++ b/internal/connection/cookie/dead_test.go
@@ -232,12 +232,7 @@
 	// A balancer restarts after an upstream crashed. It doesn't know the cookie of the
 	// crashed one's flows, and their callers wait for three seconds without a word.
 	It("has its flows reset at once by a balancer that started later and was told", func() {
-		e := newEngine(registrations(1))
-		c := newCaller(1, feedAt)
-		u := c.open(e, start)
-		setUpstreams(e, nil, start)
-		e.DueProbes(start)
-		e.Probed(u.Route.ID, cookie.ProbeRefused, start, start)
+		e, c, u := crashed()
 		Expect(e.Gone()).To(HaveLen(1))
 		later := newEngine(nil)
 		Expect(later.Decide(c.request(1), start).Action).To(Equal(cookie.ActionDrop))
@@ -249,12 +244,7 @@
 	})
 
 	It("is forgotten after the lifetime of flows", func() {
-		e := newEngine(registrations(1))
-		c := newCaller(1, feedAt)
-		u := c.open(e, start)
-		setUpstreams(e, nil, start)
-		e.DueProbes(start)
-		e.Probed(u.Route.ID, cookie.ProbeRefused, start, start)
+		e, c, _ := crashed()
 		e.Expire(start.Add(30 * time.Second))
 		Expect(e.Decide(c.request(1), start.Add(30*time.Second)).Cause).To(Equal(cookie.CauseGone))
 		e.Expire(start.Add(2 * time.Minute))
@@ -301,3 +291,15 @@
 		Expect(flows).To(Equal(int64(1)), "it came back")
 	})
 })
+
+// crashed returns a balancer that has found its only upstream dead, a caller with a flow
+// there, and that upstream.
+func crashed() (*cookie.Engine, *caller, *cookie.Upstream) {
+	e := newEngine(registrations(1))
+	c := newCaller(1, feedAt)
+	u := c.open(e, start)
+	setUpstreams(e, nil, start)
+	e.DueProbes(start)
+	e.Probed(u.Route.ID, cookie.ProbeRefused, start, start)
+	return e, c, u
+}
