start: members tell a daemon that starts; few ask a store that doesn't answer

Ruled out: pages; the list of 293 upstreams comes in one.

Change: peer.Start decides. The seeds' answers introduce the first readers of the newcomer's zone, and it asks those. It reads the store if callers wait, if no member that serves answers within 20 ms (a loss of power), if it is the first in rank at the first start of a system, or if nobody tells it. What it read itself counts as heard, so it doesn't follow the store until it has found the others. Who takes over the reading goes on from the list it was told. Members that a newcomer learns aren't gossiped again, and are sorted once. Lines about members are summed up by second and zone. Who reads and has no answer from the store says so in its reports; from the fifth in rank on others then wait a second longer each. (Two changes in one commit: they touch the same functions.)

--- a/internal/connection/peer/codec.go
+++ b/internal/connection/peer/codec.go
@@ -18,7 +18,7 @@
 	// DomainNumberedMembership is that of membership messages with numbers.
 	DomainNumberedMembership Domain = "fescueshed membership 2\n"
 	DomainNews               Domain = "fescueshed news 3\n"
-	DomainReport             Domain = "fescueshed report 2\n"
+	DomainReport             Domain = "fescueshed report 3\n"
 	DomainCatalog            Domain = "fescueshed catalog 2\n"
 )
 
--- a/internal/connection/peer/contacts.go
+++ b/internal/connection/peer/contacts.go
@@ -22,6 +22,8 @@
 	Name    string
 	Zone    bundle.Zone
 	Control netip.AddrPort
+	// Size is that of the member, zero if the daemon that wrote it didn't tell.
+	Size uint32
 }
 
 const (
@@ -69,7 +71,7 @@
 	slices.SortFunc(members, compareReaders)
 	for _, m := range members {
 		if inZone[m.Zone]++; inZone[m.Zone] <= contactsInZone && len(out.Members) < MaxContacts {
-			out.Members = append(out.Members, Contact{Name: m.Name, Zone: m.Zone, Control: m.Control})
+			out.Members = append(out.Members, Contact{Name: m.Name, Zone: m.Zone, Control: m.Control, Size: m.Size})
 		}
 	}
 	for _, o := range old.Members {
@@ -84,18 +86,32 @@
 	return slices.ContainsFunc(c.Members, func(m Contact) bool { return m.Control == at })
 }
 
-// Outdated reports whether contacts are to be replaced: a zone has no member among them
-// any more, or none that is there.
+// Outdated reports whether contacts are to be replaced: none of a zone's largest members is
+// among them. Any member would do to be found by, but after a loss of all power it is the largest
+// who can tell the others soonest.
 func (v *View) Outdated(c *Contacts) bool {
+	largest := make(map[bundle.Zone]uint32)
+	for i := range v.Members {
+		m := &v.Members[i]
+		largest[m.Zone] = max(largest[m.Zone], m.Size)
+	}
 	found := make(map[bundle.Zone]bool)
 	for i := range v.Members {
 		m := &v.Members[i]
-		found[m.Zone] = found[m.Zone] || c.has(m.Control)
+		if m.Size == largest[m.Zone] && c.has(m.Control) {
+			found[m.Zone] = true
+		}
 	}
-	for _, ok := range found {
-		if !ok {
-			return true
+	return len(found) < len(largest)
+}
+
+// Larger returns the control addresses of those in a zone that Tells holds for.
+func (c *Contacts) Larger(zone bundle.Zone, self uint32) []netip.AddrPort {
+	var out []netip.AddrPort
+	for _, m := range c.Members {
+		if m.Zone == zone && Tells(m.Size, self) {
+			out = append(out, m.Control)
 		}
 	}
-	return false
+	return out
 }
--- a/internal/connection/peer/contacts_test.go
+++ b/internal/connection/peer/contacts_test.go
@@ -45,6 +45,24 @@
 		Expect(alone.Contacts(&c).Members).To(HaveLen(9))
 	})
 
+	// The contacts were written while only small hosts were known. After a loss of all power
+	// small hosts ask them, which start as late as they do, and wait for nothing.
+	It("are replaced until a zone's largest host is among them", func() {
+		v := view(0, 9)
+		c := v.Contacts(&peer.Contacts{})
+		members := append([]peer.Member(nil), v.Members...)
+		members = append(members, peer.Member{
+			ID: peer.IDOf("large"), Name: "large", Zone: "a", Size: 800,
+			Control: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 1, 1}), 6082),
+		})
+		grown := peer.NewView(members[0].ID, members, peer.Changes{})
+		Expect(grown.Outdated(&c)).To(BeTrue())
+		next := grown.Contacts(&c)
+		Expect(grown.Outdated(&next)).To(BeFalse())
+		Expect(next.Larger("a", 100)).To(Equal([]netip.AddrPort{netip.MustParseAddrPort("10.0.1.1:6082")}))
+		Expect(next.Larger("b", 100)).To(BeEmpty())
+	})
+
 	It("stay within their bound, the newest first", func() {
 		c := peer.Contacts{}
 		for i := range 30 {
--- a/internal/connection/peer/gossip.go
+++ b/internal/connection/peer/gossip.go
@@ -101,10 +101,11 @@
 	m.gossip = append([]rumor{{Member: u, copies: m.cfg.GossipCopies}}, m.gossip...)
 }
 
-func (m *Membership) takeGossip() []Member {
+// takeGossip returns at most n updates to pass on.
+func (m *Membership) takeGossip(n int) []Member {
 	var out []Member
 	for i := range m.gossip {
-		if len(out) == m.cfg.Updates {
+		if len(out) == n {
 			break
 		}
 		out = append(out, m.gossip[i].Member)
--- a/internal/connection/peer/membership.go
+++ b/internal/connection/peer/membership.go
@@ -108,6 +108,8 @@
 	unsettled bool
 	nextProbe time.Time
 	epoch     uint64
+	// serving is set once a member has told that it has a bundle in force.
+	serving bool
 }
 
 type record struct {
@@ -253,6 +255,7 @@
 	if msg.From.ID == m.self.ID {
 		return nil
 	}
+	m.serving = m.serving || msg.Bundle != 0
 	m.apply(msg.From, now)
 	for i := range msg.Updates {
 		m.apply(msg.Updates[i], now)
@@ -265,7 +268,7 @@
 	}
 	switch msg.Kind {
 	case KindPing:
-		out = append(out, m.envelope(from, KindAck, msg.Seq))
+		out = append(out, m.answer(from, msg, now))
 	case KindPingRequest:
 		e := m.ping(msg.Target)
 		m.relays[e.Message.Seq] = relay{to: from, seq: msg.Seq, at: now}
@@ -287,27 +290,90 @@
 	return !known.present() || known.Boot != says.Boot
 }
 
-// Learn takes in members that another daemon knows. It spreads nothing: who told
-// them has done so.
+// Learn takes in members that another daemon knows. Those that are new here aren't passed on:
+// who told them has done so, and a daemon that joins a fleet of 195 would else repeat all of
+// them to each of its first hundred partners.
 func (m *Membership) Learn(now time.Time, members []Member) {
+	added := false
 	for i := range members {
-		if members[i].ID != m.self.ID {
-			m.apply(members[i], now)
+		u := &members[i]
+		switch {
+		case u.ID == m.self.ID:
+		case m.peers[u.ID] != nil:
+			m.apply(*u, now)
+		case u.present():
+			m.peers[u.ID] = newRecord(*u, now)
+			added = true
 		}
 	}
+	if added {
+		m.reorder()
+		m.touch(now)
+	}
 }
 
-// Known returns all members that are there, this daemon first.
-func (m *Membership) Known() []Member {
-	out := []Member{m.self}
+// MetServing reports whether a member that has a bundle in force was heard.
+func (m *Membership) MetServing() bool { return m.serving }
+
+// Greet pings a daemon that may not be a member yet, so that it knows of this one.
+func (m *Membership) Greet(at netip.AddrPort) []Envelope { return []Envelope{m.ping(at)} }
+
+// Introductions returns the members that a newcomer of a zone is told of first: those who read
+// the store before others in its zone, and the first of the whole system. By them it finds who
+// can tell it the rest.
+func (m *Membership) Introductions(zone bundle.Zone, newcomer ID) []Member {
+	var own []*Member
+	var first *Member
+	for _, o := range m.present() {
+		switch {
+		case o.ID == newcomer:
+		case o.Zone == zone:
+			own = append(own, o)
+		case first == nil || compareReaders(o, first) < 0:
+			first = o
+		}
+	}
+	slices.SortFunc(own, compareReaders)
+	var out []Member
+	for _, o := range own[:min(len(own), maxIntroduced)] {
+		out = append(out, *o)
+	}
+	if first != nil {
+		out = append(out, *first)
+	}
+	return out
+}
+
+// present returns the members that are there, this daemon first.
+func (m *Membership) present() []*Member {
+	out := []*Member{&m.self}
 	for _, id := range m.order {
 		if r := m.peers[id]; r.present() {
-			out = append(out, r.Member)
+			out = append(out, &r.Member)
 		}
 	}
 	return out
 }
 
+const (
+	// maxIntroduced is how many members of a newcomer's zone it is told of: two may be starting
+	// or gone.
+	maxIntroduced = 3
+	// introduceFor is how long after a member joined it is told of these with each answer. While
+	// a whole system starts, the largest may come after the first answers.
+	introduceFor = 3 * time.Second
+)
+
+// Known returns all members that are there, this daemon first.
+func (m *Membership) Known() []Member {
+	list := m.present()
+	out := make([]Member, 0, len(list))
+	for _, o := range list {
+		out = append(out, *o)
+	}
+	return out
+}
+
 // Digest is a sum over the members that are there, with their runs and states. Two
 // daemons with one digest know the same members.
 func (m *Membership) Digest() uint64 {
@@ -326,13 +392,28 @@
 	m.epoch++
 }
 
+// answer acknowledges a ping. One that joined lately is told who can tell it more.
+func (m *Membership) answer(to netip.AddrPort, ping *Message, now time.Time) Envelope {
+	var known []Member
+	if r := m.peers[ping.From.ID]; r != nil && now.Sub(r.joined) < introduceFor {
+		known = m.Introductions(r.Zone, r.ID)
+		known = known[:min(len(known), m.cfg.Updates)]
+	}
+	return m.envelopeWith(to, KindAck, ping.Seq, known)
+}
+
 func (m *Membership) envelope(to netip.AddrPort, k Kind, seq uint32) Envelope {
+	return m.envelopeWith(to, k, seq, nil)
+}
+
+// envelopeWith makes a message whose updates begin with given ones.
+func (m *Membership) envelopeWith(to netip.AddrPort, k Kind, seq uint32, first []Member) Envelope {
 	msg := Message{
 		Kind:    k,
 		Seq:     seq,
 		From:    m.self,
 		Bundle:  m.bundle,
-		Updates: m.takeGossip(),
+		Updates: append(first, m.takeGossip(m.cfg.Updates-len(first))...),
 	}
 	if k == KindPing {
 		msg.Flows = m.flows
@@ -340,8 +421,12 @@
 	return Envelope{To: to, Message: msg}
 }
 
+func newRecord(u Member, now time.Time) *record {
+	return &record{Member: u, since: now, fresh: true, joined: now}
+}
+
 func (m *Membership) add(u Member, now time.Time) {
-	m.peers[u.ID] = &record{Member: u, since: now, fresh: true, joined: now}
+	m.peers[u.ID] = newRecord(u, now)
 	m.reorder()
 }
 
@@ -354,6 +439,7 @@
 	m.order = slices.Sorted(maps.Keys(m.peers))
 }
 
-func (r *record) present() bool {
-	return r.State != StateDead && r.State != StateLeft
+// present reports whether the member is there, as far as is known.
+func (m *Member) present() bool {
+	return m.State != StateDead && m.State != StateLeft
 }
--- a/internal/connection/peer/news.go
+++ b/internal/connection/peer/news.go
@@ -120,6 +120,9 @@
 	Zones []ZoneLoad
 	// Stamp grows with each report of a daemon that others pass on.
 	Stamp uint64
+	// StoreLost says that the sender reads the store and has no answer, or heard so from one that
+	// does.
+	StoreLost bool
 }
 
 // Check implements the check of a wire type.
@@ -207,4 +210,8 @@
 	// and by reports; at 300 hosts the members alone are 50 KB.
 	Joining       bool
 	MembersDigest uint64
+	// Zone is that of an asker that can't place flows yet. In place of all members it is told
+	// of those that Membership.Introductions names: callers may wait for it, and to take in 195
+	// members takes a small host longer than the list of upstreams.
+	Zone bundle.Zone
 }
--- a/internal/connection/peer/reader.go
+++ b/internal/connection/peer/reader.go
@@ -102,6 +102,26 @@
 	return slices.SortedFunc(maps.Values(first), compareReaders)
 }
 
+// Tellers returns the members that a daemon which starts asks in turn: the first readers of its
+// zone and of the others by turns, since a zone that starts as a whole knows nothing before its
+// first reader has heard another zone's.
+func (v *View) Tellers() []*Member {
+	own, others := v.ZoneMembers(), v.OtherReaders()
+	var out []*Member
+	for i := range maxTellers / 2 {
+		if i < len(own) {
+			out = append(out, own[i])
+		}
+		if i < len(others) {
+			out = append(out, others[i])
+		}
+	}
+	return out
+}
+
+// maxTellers is how many members are asked in turn.
+const maxTellers = 4
+
 func compareReaders(a, b *Member) int {
 	return cmp.Or(
 		cmp.Compare(stays(b), stays(a)),
@@ -128,6 +148,8 @@
 	// heard is as of when others told the store's content, better as of when those
 	// before this daemon in rank did.
 	heard, better time.Time
+	// lost is when a daemon that reads was last known to live and to have no answer from the store.
+	lost time.Time
 }
 
 // Times of the take-over. With a watch of 800 ms, news every 500 ms and a hop by the
@@ -139,6 +161,15 @@
 	takeOverStep  = 200 * time.Millisecond
 	// takeOverSteps bounds the delay: who is further back starts with the fourth.
 	takeOverSteps = 3
+	// lostStep lies between one rank and the next beyond takeOverSteps if those before say that the
+	// store doesn't answer: it won't answer this one either, unless it turns just those away.
+	// Without this, a store that refuses calls for 6.5 s is asked 3,600 times by 195 daemons. lostRanks
+	// bounds the wait, should it serve only who is far back.
+	lostStep  = time.Second
+	lostRanks = 8
+	// lostFor is how long such a word counts: two periods of the reports that carry it, and the
+	// way.
+	lostFor = 1200 * time.Millisecond
 	// freshFor is how old the word of a better reader may be for this one to stop.
 	freshFor = 1500 * time.Millisecond
 )
@@ -154,6 +185,12 @@
 	}
 }
 
+// StoreLost notes that a daemon which reads lives and has no answer from the store.
+func (r *Reading) StoreLost(at time.Time) { r.lost = at }
+
+// StoreIsLost reports whether that was told lately.
+func (r *Reading) StoreIsLost(now time.Time) bool { return now.Sub(r.lost) <= lostFor }
+
 // Reads reports whether this daemon, which stands at a rank, reads the store now.
 func (r *Reading) Reads(rank int, now time.Time) bool {
 	switch {
@@ -163,6 +200,9 @@
 		r.reads = now.Sub(r.better) > freshFor
 	default:
 		wait := takeOverAfter + time.Duration(min(rank, takeOverSteps))*takeOverStep
+		if r.StoreIsLost(now) {
+			wait += time.Duration(min(max(0, rank-takeOverSteps), lostRanks)) * lostStep
+		}
 		r.reads = now.Sub(r.heard) > wait
 	}
 	return r.reads
--- a/internal/connection/peer/reader_test.go
+++ b/internal/connection/peer/reader_test.go
@@ -47,6 +47,52 @@
 
 	now := time.Unix(1_000_000, 0)
 
+	// The store refuses all calls for 6.5 s. After 2.4 s without news every daemon would ask it,
+	// and go on asking: 195 daemons make 3,600 calls, each refused and each paid for, and add to
+	// what the store is short of. The first few say that they live and get no answer.
+	It("is taken over by few while the first say that the store doesn't answer", func() {
+		const zone, outage = 43, 6500 * time.Millisecond
+		reading := func(told bool) int {
+			n := 0
+			for rank := 1; rank < zone; rank++ {
+				var r peer.Reading
+				r.Heard(now, true)
+				for at := now; at.Before(now.Add(outage)); at = at.Add(100 * time.Millisecond) {
+					if told && at.Sub(now) > time.Second {
+						r.StoreLost(at)
+					}
+					if r.Reads(rank, at) {
+						n++
+						break
+					}
+				}
+			}
+			return n
+		}
+		Expect(reading(false)).To(Equal(42))
+		Expect(reading(true)).To(Equal(6))
+	})
+
+	// The store serves only daemons that are far back, and turns those before them away for good.
+	// A bundle would never reach the zone.
+	It("is taken over in the end though the first have no answer", func() {
+		var r peer.Reading
+		r.Heard(now, true)
+		r.StoreLost(now.Add(10 * time.Second))
+		Expect(r.Reads(42, now.Add(10*time.Second))).To(BeFalse())
+		r.StoreLost(now.Add(10500 * time.Millisecond))
+		Expect(r.Reads(42, now.Add(10500*time.Millisecond))).To(BeTrue())
+	})
+
+	// The daemon that said so dies. Its word must not hold the others back.
+	It("is taken over at once when nobody says any more that the store doesn't answer", func() {
+		var r peer.Reading
+		r.Heard(now, true)
+		r.StoreLost(now.Add(1500 * time.Millisecond))
+		Expect(r.Reads(42, now.Add(2600*time.Millisecond))).To(BeFalse())
+		Expect(r.Reads(42, now.Add(2800*time.Millisecond))).To(BeTrue())
+	})
+
 	// The reader freezes, is cut off, or is turned away by the store. No error shows
 	// it to the others; a bundle would reach the zone only when it is back.
 	It("is taken over by the next in rank when no fresh news are heard", func() {
--- /dev/null
+++ b/internal/connection/peer/start.go
@@ -0,0 +1,84 @@
+package peer
+
+import "time"
+
+// Start decides whether a daemon that can't place flows yet reads the store for itself. The
+// store's calls and its link are what a fleet that starts as a whole has least of. So a daemon
+// reads only if somebody waits or may wait for it, if it is the one that reads for all, or if
+// nobody has told it in time. The others ask members. It is a value and safe for concurrent use.
+type Start struct {
+	// Began is when the daemon started.
+	Began time.Time
+	// First says that the whole system starts for the first time, so that no callers wait yet.
+	First bool
+}
+
+// Newcomer is what a daemon knows of the system while it starts.
+type Newcomer struct {
+	// CallersWait says that a caller's packet has come.
+	CallersWait bool
+	// MetServing says that a member which can place flows has answered.
+	MetServing bool
+	// Rank is the daemon's ReaderRank, Others how many other members it knows.
+	Rank, Others int
+}
+
+const (
+	// meetAfter is how long a daemon gives the seeds to show that the system runs. One with a
+	// sixteenth of a core has their answers after 12 ms. If there is none, all hosts may be
+	// coming back from a loss of power, and callers will ask each of them at any moment.
+	meetAfter = 20 * time.Millisecond
+	// settleAfter is when, at the first start, the daemon that stands first in rank reads. The
+	// users' hosts start within 300 ms of each other, and a small seed answers 195 of them within
+	// 600 ms. Before that most know none of their zone and take themselves for the first.
+	settleAfter = time.Second
+	// aloneAfter is when one reads that no seed has answered at the first start: it has asked
+	// four times.
+	aloneAfter = 1200 * time.Millisecond
+	// toldAfter is when one reads that knows others and wasn't told. The first in rank has read
+	// the store by then and told its zone in one step or two.
+	toldAfter = 2500 * time.Millisecond
+	// toldStep lies between one rank and the next, so that few read at once and the later ones
+	// hear of it from the earlier ones. toldRanks bounds the wait: the users' callers come 10 s
+	// after the hosts.
+	toldStep  = 50 * time.Millisecond
+	toldRanks = 60
+)
+
+// Reads reports whether the daemon reads the store now.
+func (s Start) Reads(n Newcomer, now time.Time) bool {
+	passed := now.Sub(s.Began)
+	switch {
+	case n.CallersWait:
+		return true
+	case !s.First && !n.MetServing:
+		return passed >= meetAfter
+	case n.Others == 0:
+		return passed >= aloneAfter
+	case n.Rank == 0:
+		return passed >= settleAfter
+	}
+	return passed >= toldAfter+time.Duration(min(n.Rank, toldRanks))*toldStep
+}
+
+// ReaderRank returns the rank by which the daemon follows the store once it can place flows, if
+// its view says rank. One that started just now knows few others and takes itself for the first:
+// after a loss of power 195 hosts would each follow the store until they had found each other.
+func (s Start) ReaderRank(rank int, now time.Time) int {
+	if now.Sub(s.Began) < foundAfter {
+		return max(rank, 1)
+	}
+	return rank
+}
+
+// foundAfter is when a daemon has found the first of its zone: the seeds were asked four times.
+// Until then what it read itself, or was told, is fresh.
+const foundAfter = time.Second
+
+// Tells reports whether a member of a size is worth asking by a daemon of another that is reading
+// a long list while all hosts come back: one that is no larger starts no sooner, and takes as long
+// to read the list as the daemon itself.
+func Tells(member, self uint32) bool { return member >= tellerFactor*self }
+
+// tellerFactor is by how much a member must be larger.
+const tellerFactor = 2
--- a/internal/process/carrier/carrier.go
+++ b/internal/process/carrier/carrier.go
@@ -66,9 +66,7 @@
 	answered, probed metrics.Histogram
 	started          time.Time
 	leaving          atomic.Bool
-	// ready is closed when the daemon knows enough to place flows.
-	ready     chan struct{}
-	readyOnce sync.Once
+	start            *startup
 	// unusable counts stored objects that couldn't be used, each time they were read.
 	unusable  atomic.Uint64
 	departure departure
@@ -87,6 +85,8 @@
 	lacksWhole bool
 	// confirmedBundle and confirmedList are as of when the store's content is known.
 	confirmedBundle, confirmedList time.Time
+	// failing is when a call of the store failed last, zero if one was answered since.
+	failing time.Time
 }
 
 // New opens the sockets of a daemon and starts its parts. The clean-up function
@@ -97,9 +97,9 @@
 		pauses:   timer.NewPauses(pauseLimit),
 		logs:     newDecisionLog(cfg.LogsPerSecond),
 		started:  time.Now(),
-		ready:    make(chan struct{}),
 		catalog:  registry.NewCatalog(),
 	}
+	c.start = newStartup(c.started, cfg.FirstStart)
 	c.engine = cookie.NewEngine(cookie.Options{
 		Zone:         cfg.Zone,
 		Policy:       upstream.NewZoned(cfg.Zone, upstream.DefaultChoices),
@@ -152,17 +152,7 @@
 // held.
 func (c *Carrier) noteReady() {
 	if c.engine.Ready() {
-		c.readyOnce.Do(func() { close(c.ready) })
-	}
-}
-
-// awaitReady waits until the daemon knows enough to place flows, false if ctx ends before.
-func (c *Carrier) awaitReady(ctx context.Context) bool {
-	select {
-	case <-ctx.Done():
-		return false
-	case <-c.ready:
-		return true
+		c.start.ready.happen()
 	}
 }
 
@@ -223,6 +213,7 @@
 	c.members.tellLoads(now)
 	c.members.tellNews(now)
 	c.members.passed.forget(now)
+	c.members.lines.sum(c.Members(), now)
 }
 
 // tellEagerly tells loads more often for a while after the start.
--- a/internal/process/carrier/data.go
+++ b/internal/process/carrier/data.go
@@ -31,7 +31,7 @@
 	maxPacketBytes = 2048
 	// socketBufferBytes takes a second of a small host's packets.
 	socketBufferBytes = 1 << 20
-	// freshStart is how long packets may wait for a daemon that starts. Callers
+	// freshStart is how long packets may wait for a daemon that isn't ready. Callers
 	// repeat a first packet after 200 ms, perhaps to another daemon.
 	freshStart = 200 * time.Millisecond
 )
@@ -51,16 +51,12 @@
 	}, nil
 }
 
-// run reads packets until the socket is closed. Packets wait in the socket until
-// flows can be placed.
+// run reads packets until the socket is closed.
 func (d *data) run(ctx context.Context) {
-	if !d.c.awaitReady(ctx) {
-		return
-	}
 	buf := make([]byte, maxPacketBytes)
 	head := d.c.platform.Packets.Headroom()
-	if time.Since(d.c.started) > freshStart {
-		d.drain(buf)
+	if !d.first(ctx, buf) {
+		return
 	}
 	pauses := d.c.pauses.Seen(time.Now())
 	for {
@@ -84,6 +80,29 @@
 	}
 }
 
+// first handles the first packet that comes. If flows can't be placed yet, it and those behind
+// it wait, and the daemon learns that callers do. It returns false if the daemon ends before.
+func (d *data) first(ctx context.Context, buf []byte) bool {
+	head := d.c.platform.Packets.Headroom()
+	n, err := d.conn.Read(buf[head:])
+	for err != nil && !eris.Is(err, net.ErrClosed) {
+		d.failed.Add(1)
+		n, err = d.conn.Read(buf[head:])
+	}
+	came := time.Now()
+	d.c.start.callersWait.happen()
+	if err != nil || !d.c.awaitReady(ctx) {
+		return false
+	}
+	now := time.Now()
+	waited := now.Sub(came) > freshStart
+	d.handle(buf[:head+n], now, waited)
+	if waited {
+		d.drain(buf)
+	}
+	return true
+}
+
 func (d *data) paused(now time.Time) {
 	d.c.mu.Lock()
 	d.c.engine.Paused(now)
--- a/internal/process/carrier/follower.go
+++ b/internal/process/carrier/follower.go
@@ -32,12 +32,17 @@
 	// store answered.
 	list    func(objects.Snapshot[T], time.Time)
 	changes func(objects.Changes[T], time.Time)
+	// known returns the revision from which the kind is known by what others told, zero if it
+	// must be listed. It may be nil.
+	known func() objects.Revision
 	// failed is since when calls fail; zero if they don't.
 	failed time.Time
 	// listing is the list in progress, nil if there is none. fresh says that the next
 	// must not be a stale one.
 	listing *objects.Listing[T]
 	fresh   bool
+	// starting says that the list was begun before the daemon could place flows.
+	starting bool
 	// lines bounds the lines about objects that can't be used.
 	lines *logs.Limiter
 }
@@ -49,9 +54,12 @@
 	for ctx.Err() == nil {
 		if !f.c.reads(time.Now()) {
 			asOf, f.listing, failures = 0, nil, 0
-			sleep(ctx, idlePoll)
+			f.c.awaitTurn(ctx)
 			continue
 		}
+		if asOf == 0 && f.known != nil && !f.fresh {
+			asOf = f.known()
+		}
 		next, changed, err := f.step(ctx, asOf)
 		switch {
 		case err == nil:
@@ -71,10 +79,14 @@
 	}
 }
 
-// step lists or watches once and takes in what that brings.
+// step lists or watches once and takes in what that brings. A daemon that starts waits a little
+// after its list for the other kind's: once both are there, another may follow the store.
 func (f *follower[T]) step(ctx context.Context, asOf objects.Revision) (objects.Revision, bool, error) {
 	if asOf == 0 {
 		next, err := f.listAll(ctx)
+		if err == nil {
+			f.c.awaitOtherKind(ctx)
+		}
 		return next, err == nil, err
 	}
 	ch, err := f.feed.Watch(ctx, asOf, time.Duration(f.c.cfg.Load().WatchWait))
@@ -95,10 +107,15 @@
 // though it lacks seconds.
 func (f *follower[T]) listAll(ctx context.Context) (objects.Revision, error) {
 	if f.listing == nil {
-		f.listing = objects.NewListing[T](f.long && !f.fresh && !f.c.placesFlows())
+		f.starting = !f.c.start.ready.happened()
+		f.listing = objects.NewListing[T](f.long && !f.fresh && f.starting)
 	}
 	for !f.listing.Done() {
-		p, err := f.feed.List(ctx, f.listing.Next())
+		p, err := f.page(ctx)
+		if f.toldMeanwhile(ctx) {
+			f.listing = nil
+			return f.known(), nil
+		}
 		if err != nil {
 			f.listing.Failed()
 			return 0, err
@@ -124,6 +141,20 @@
 	return late.AsOf, nil
 }
 
+// page reads the next page. A daemon that starts may give it up for another's word.
+func (f *follower[T]) page(ctx context.Context) (objects.Page[T], error) {
+	o := f.listing.Next()
+	if f.starting && f.known != nil {
+		o.Hold = func(size int64) bool { return f.c.wantsList(ctx, size) }
+	}
+	return f.feed.List(ctx, o)
+}
+
+// toldMeanwhile reports whether a member has told all while a daemon that starts was reading.
+func (f *follower[T]) toldMeanwhile(ctx context.Context) bool {
+	return f.starting && f.known != nil && ctx.Err() == nil && f.c.start.ready.happened()
+}
+
 // report counts the objects that can't be used and writes lines for them, within
 // unusableLines: a writer that replaces thousands of entries would else fill the logs of
 // every daemon that reads.
@@ -163,8 +194,10 @@
 	if to := f.c.members.elsewhere(); to.IsValid() {
 		f.c.members.pull(to, false)
 	}
+	now := time.Now()
+	f.c.storeFails(now)
 	if f.failed.IsZero() {
-		f.failed = time.Now()
+		f.failed = now
 		klog.ErrorS(err, "Store lost", "Kind", f.name)
 	}
 }
@@ -174,6 +207,7 @@
 func (f *follower[T]) answered() {
 	now := time.Now()
 	f.c.mu.Lock()
+	f.c.failing = time.Time{}
 	if last := f.c.confirmedList; !last.IsZero() && now.Sub(last) > outageAfter {
 		f.c.catalog.StoreReturned(now)
 	}
--- a/internal/process/carrier/loads.go
+++ b/internal/process/carrier/loads.go
@@ -108,10 +108,11 @@
 			l.Answered = 0
 		}
 	}
-	sum.Sum, sum.Zones, sum.Stamp = true, m.loads.zones(now), m.stamp.Add(1)
+	ownLost, lost := m.c.storeLost(now)
+	sum.Sum, sum.Zones, sum.Stamp, sum.StoreLost = true, m.loads.zones(now), m.stamp.Add(1), lost
 	m.c.takeLoads(sum, now)
 	send(m, protocolReport, m.reports, sum, v.Children(peer.TreeForward, true))
-	own := &peer.Report{From: v.Self, Zones: m.c.ownZone()}
+	own := &peer.Report{From: v.Self, Zones: m.c.ownZone(), StoreLost: ownLost}
 	send(m, protocolReport, m.reports, own, v.OtherReaders())
 }
 
@@ -124,6 +125,9 @@
 
 func (m *members) heardReport(r *peer.Report, now time.Time) {
 	v := m.view.Load()
+	if r.StoreLost && m.c.hearStoreLost(now) && !r.Sum {
+		m.tellLoads(now) // Its own zone waits for it.
+	}
 	switch {
 	case r.Found:
 		m.c.hint(r.Dead, now)
--- a/internal/process/carrier/members.go
+++ b/internal/process/carrier/members.go
@@ -36,6 +36,7 @@
 	reports *peer.Numbered[peer.Report, *peer.Report]
 	catalog *peer.Codec[peer.Catalog, *peer.Catalog]
 	loads   *zoneLoads
+	lines   *memberLog
 	wg      sync.WaitGroup
 	// stamp is that of the last report which others pass on, passed are those of theirs.
 	stamp  atomic.Uint64
@@ -48,6 +49,9 @@
 	// telling bounds how many others are told everything at once.
 	telling chan struct{}
 
+	// met is told when a daemon that knew no other one knows some.
+	met chan struct{}
+
 	// mu guards group, epoch and nextSeed.
 	mu       sync.Mutex
 	group    *peer.Membership
@@ -71,7 +75,8 @@
 func (c *Carrier) startMembers(ctx context.Context) (func(), error) {
 	cfg := c.cfg.Load()
 	m := &members{
-		c: c, loads: newZoneLoads(), passed: newStamps(), telling: make(chan struct{}, maxTold),
+		c: c, loads: newZoneLoads(), lines: newMemberLog(), passed: newStamps(),
+		telling: make(chan struct{}, max(minTold, int(toldByCore*cfg.CPUShare))), met: make(chan struct{}, 1),
 	}
 	m.stamp.Store(uint64(c.started.UnixNano()))
 	if err := m.newCodecs(keys(cfg)); err != nil {
@@ -100,8 +105,10 @@
 	ctx, cancel := context.WithCancel(ctx)
 	m.ctx = ctx
 	ports.Start(m.datagram)
+	m.tick(c.started)
 	m.wg.Go(func() { m.join(ctx) })
 	m.wg.Go(func() { m.serve(ctx) })
+	m.wg.Go(func() { m.logReady(ctx) })
 	return func() {
 		cancel()
 		ports.Close()
@@ -230,7 +237,13 @@
 	}
 	m.mu.Unlock()
 	if view != nil {
-		logMembers(old, view)
+		m.lines.changed(old, view, time.Now())
+		if len(old.Members) == 1 && len(view.Members) > 1 {
+			select {
+			case m.met <- struct{}{}:
+			default:
+			}
+		}
 	}
 	for i := range out {
 		e := &out[i]
@@ -251,43 +264,9 @@
 // JoinedAfter is when the last of them is over.
 const JoinedAfter = 6 * time.Second
 
-const (
-	// storeFirst is how long a daemon that starts waits for the store alone. Its lists are there
-	// after some 15 ms on a host with a tenth of a core; a seed of that size takes 25 to 35 ms
-	// to tell as much.
-	storeFirst = 40 * time.Millisecond
-	// seedAnswer bounds the question to a seed.
-	seedAnswer = 200 * time.Millisecond
-)
-
-// askSeed asks one seed for everything if the store hasn't told it: it is away, or turns this
-// host away. Callers wait for either.
-func (m *members) askSeed(ctx context.Context) {
-	select {
-	case <-m.c.ready:
-		return
-	case <-ctx.Done():
-		return
-	case <-time.After(storeFirst):
-	}
-	var seeds []netip.AddrPort
-	for _, s := range m.c.cfg.Load().Seeds {
-		if s != m.c.cfg.Load().Announced() {
-			seeds = append(seeds, s)
-		}
-	}
-	if len(seeds) == 0 {
-		return
-	}
-	if err := m.fetch(seeds[rand.IntN(len(seeds))], seedAnswer); err != nil {
-		klog.InfoS("No seed told what it knows", "Error", err.Error())
-	}
-}
-
-// join fetches what others know: the bundle, upstreams and members. A daemon that
-// the store turns away starts by that.
+// join fetches what others know: the bundle, upstreams and members.
 func (m *members) join(ctx context.Context) {
-	m.askSeed(ctx)
+	m.learn(ctx)
 	for _, after := range joinAfter {
 		sleep(ctx, after/2+rand.N(after)-time.Since(m.c.started))
 		if to := m.anyone(); to.IsValid() && ctx.Err() == nil {
@@ -344,13 +323,20 @@
 			return out
 		}
 		m.nextSeed = now.Add(seedPeriod)
-		if len(m.view.Load().Members) > 1 {
+		if len(m.view.Load().Members) > 1 && m.c.start.ready.happened() {
 			m.nextSeed = now.Add(knownSeedPeriod/2 + rand.N(knownSeedPeriod))
 		}
 		return append(out, g.Seed(m.c.cfg.Load().Seeds)...)
 	})
 }
 
+// metServing reports whether a member that can place flows was heard.
+func (m *members) metServing() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.group.MetServing()
+}
+
 func (m *members) leave() {
 	m.do(func(g *peer.Membership) []peer.Envelope { return g.Leave(time.Now()) })
 }
@@ -359,21 +345,6 @@
 	m.do(func(g *peer.Membership) []peer.Envelope { return g.Left(time.Now()) })
 }
 
-// logMembers writes a line for each member that came, went or changed.
-func logMembers(old, view *peer.View) {
-	for i := range view.Members {
-		v := &view.Members[i]
-		if was := old.Member(v.ID); was == nil || was.State != v.State || was.Boot != v.Boot {
-			klog.InfoS("Member", "Name", v.Name, "Zone", v.Zone, "State", v.State, "Members", len(view.Members))
-		}
-	}
-	for i := range old.Members {
-		if v := &old.Members[i]; view.Member(v.ID) == nil {
-			klog.InfoS("Member is no longer there", "Name", v.Name, "Zone", v.Zone, "Members", len(view.Members))
-		}
-	}
-}
-
 // bundleInForce returns the bundle in force and its version.
 func (c *Carrier) bundleInForce() (*bundle.Bundle, bundle.Version) {
 	v := c.inForce.Version()
--- a/internal/process/carrier/news.go
+++ b/internal/process/carrier/news.go
@@ -27,10 +27,12 @@
 	// different lists by two readers would else fill the link of a small host.
 	pullPause   = 500 * time.Millisecond
 	urgentPause = 100 * time.Millisecond
-	// maxTold is how many others that start are told everything at once. A list of 3000 upstreams
-	// is 150 KB; a hundred hosts that start together would fill a small host's link for
-	// seconds. Those that are turned away ask again or read the store.
-	maxTold = 4
+	// minTold is how many others that start are told everything at once by a small host, and
+	// toldByCore by one with a whole core. A list of 3000 upstreams is 150 KB; a hundred hosts that
+	// start together would fill a small host's link of 20 Mbit/s for seconds, and a large one has
+	// ten times as much. Those that are turned away ask again or read the store.
+	minTold    = 4
+	toldByCore = 64
 	// codeBusy is the code of the error that says so, of those that JSON-RPC 2.0
 	// leaves to the application.
 	codeBusy = 1
@@ -41,7 +43,7 @@
 func (m *members) tellNews(now time.Time) {
 	v := m.view.Load()
 	m.c.mu.Lock()
-	reads := m.c.reading.Reads(v.ReaderRank(), now)
+	reads := m.c.follows(v.ReaderRank(), now)
 	m.c.mu.Unlock()
 	if reads {
 		m.sendNews(v.Self, append(v.Audience(true), v.OtherReaders()...), now)
@@ -180,6 +182,9 @@
 	c.mu.Unlock()
 	params.Version = c.inForce.Version()
 	params.Joining = sent.Sub(c.started) < JoinedAfter
+	if !c.start.ready.happened() {
+		params.Zone = c.cfg.Load().Zone
+	}
 	m.mu.Lock()
 	params.MembersDigest = m.group.Digest()
 	m.mu.Unlock()
@@ -260,21 +265,30 @@
 		case m.telling <- struct{}{}:
 			defer func() { <-m.telling }()
 		default:
-			return nil, &jsonrpc2.Error{Code: codeBusy, Message: "others are told already"}
+			return nil, &jsonrpc2.Error{Code: codeBusy, Message: errBusy.Error()}
 		}
 	}
 	out := m.c.tell(params)
 	if params.Joining {
-		m.mu.Lock()
-		if m.group.Digest() != params.MembersDigest {
-			out.Members = m.group.Known()
-		}
-		m.mu.Unlock()
+		out.Members = m.toldMembers(&params)
 	}
 	sealed, err := m.catalog.Encode(out)
 	return sealed, eris.Wrap(err, "catalog")
 }
 
+// toldMembers returns the members that one which joins is told of.
+func (m *members) toldMembers(params *peer.CatalogParams) []peer.Member {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	switch {
+	case params.Zone != "":
+		return append(m.group.Introductions(params.Zone, 0), m.group.Self())
+	case m.group.Digest() != params.MembersDigest:
+		return m.group.Known()
+	}
+	return nil
+}
+
 // tell returns what this daemon knows and the asker doesn't.
 func (c *Carrier) tell(params peer.CatalogParams) *peer.Catalog {
 	b, version := c.bundleInForce()
--- a/internal/process/carrier/store.go
+++ b/internal/process/carrier/store.go
@@ -8,6 +8,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/fescueshed/fescueshed/internal/connection/cookie"
+	"github.com/fescueshed/fescueshed/internal/connection/peer"
 	"github.com/fescueshed/fescueshed/internal/process/logs"
 	"github.com/fescueshed/fescueshed/internal/version/bundle"
 	"github.com/fescueshed/fescueshed/internal/version/objects"
@@ -23,7 +24,7 @@
 	}
 	registrations := &follower[registry.Registration]{
 		c: c, feed: c.platform.Registrations, name: "Registrations", long: true,
-		list: c.listUpstreams, changes: c.changeUpstreams, lines: logs.NewLimiter(unusableLines),
+		list: c.listUpstreams, changes: c.changeUpstreams, known: c.knownList, lines: logs.NewLimiter(unusableLines),
 	}
 	wg.Go(func() { bundles.run(ctx) })
 	wg.Go(func() { registrations.run(ctx) })
@@ -33,13 +34,26 @@
 	}, nil
 }
 
-// reads reports whether this daemon reads the store now: until it knows anything at
-// all, if no other daemon could tell it, and then as peer.Reading says.
+// reads reports whether this daemon reads the store now: as peer.Start says until it can place
+// flows, and then as peer.Reading does.
 func (c *Carrier) reads(now time.Time) bool {
-	rank := c.members.view.Load().ReaderRank()
+	v := c.members.view.Load()
+	rank := v.ReaderRank()
+	if !c.start.ready.happened() {
+		return c.start.Reads(peer.Newcomer{
+			CallersWait: c.start.callersWait.happened(), MetServing: c.members.metServing(),
+			Rank: rank, Others: len(v.Members) - 1,
+		}, now)
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.reading.Reads(rank, now) || !c.engine.Ready()
+	return c.follows(rank, now)
+}
+
+// follows reports whether this daemon, which can place flows and whose view says rank, follows
+// the store. c.mu is held.
+func (c *Carrier) follows(rank int, now time.Time) bool {
+	return c.reading.Reads(c.start.ReaderRank(rank, now), now)
 }
 
 func (c *Carrier) listBundles(s objects.Snapshot[bundle.Accepted], now time.Time) {
@@ -98,10 +112,61 @@
 		resets = c.follow(now)
 	}
 	c.confirmList(now)
+	c.readHere()
 	c.mu.Unlock()
 	c.data.resets(resets)
 }
 
+// readHere notes that this daemon itself has read the store: it needn't again, unless nobody
+// tells it more in time. c.mu is held.
+func (c *Carrier) readHere() { c.reading.Heard(c.confirmed(), false) }
+
+// storeFails notes that a call of the store failed. The first time it tells others at once: they
+// hear no news meanwhile, and would turn to the store themselves.
+func (c *Carrier) storeFails(now time.Time) {
+	c.mu.Lock()
+	first := c.failing.IsZero()
+	c.failing = now
+	c.mu.Unlock()
+	if first {
+		c.members.tellLoads(now)
+	}
+}
+
+// hearStoreLost notes that a daemon which reads has no answer from the store. It reports whether
+// that is new.
+func (c *Carrier) hearStoreLost(now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	known := c.reading.StoreIsLost(now)
+	c.reading.StoreLost(now)
+	return !known
+}
+
+// storeLost reports whether this daemon has no answer from the store, and whether it or one it
+// heard of has none.
+func (c *Carrier) storeLost(now time.Time) (own, any bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	own = !c.failing.IsZero() && now.Sub(c.failing) < failingFor
+	return own, own || c.reading.StoreIsLost(now)
+}
+
+// failingFor is how long a failed call counts: more than the pause to the next one of the first
+// in rank, and a call that hangs.
+const failingFor = 3 * time.Second
+
+// knownList returns the revision as of which the list of upstreams is known as a whole, zero if
+// it isn't.
+func (c *Carrier) knownList() objects.Revision {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.engine.Ready() || c.lacksWhole {
+		return 0
+	}
+	return c.catalog.AsOf
+}
+
 // follow lets the engine route by what changed in the catalog. It returns resets for flows
 // that ended by it, to be sent once c.mu isn't held any more, as it is here.
 func (c *Carrier) follow(now time.Time) []cookie.Reset {
@@ -142,6 +207,7 @@
 		resets = c.follow(now)
 	}
 	c.confirmList(now)
+	c.readHere()
 	c.mu.Unlock()
 	c.data.resets(resets)
 }
@@ -167,6 +233,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.confirmBundleAt(at)
+	c.readHere()
 }
 
 // confirmBundleAt notes as of when the bundle in force is the newest. c.mu is held.
--- a/internal/process/settings/cookie.go
+++ b/internal/process/settings/cookie.go
@@ -40,6 +40,9 @@
 	// AcceptedSecrets are read too, though nothing is written with them: the next Secret
 	// before it is one, and the last one until no daemon writes with it any more.
 	AcceptedSecrets []Secret
+	// FirstStart says that the whole system starts for the first time: no callers wait for it, so
+	// a daemon leaves it to others to read the store.
+	FirstStart bool
 	// CPUShare is the host's share of a core. Larger hosts read the store for others.
 	CPUShare float64
 	// FlowLifetime is how long a flow may live.
--- a/internal/standin/metadata/store.go
+++ b/internal/standin/metadata/store.go
@@ -340,8 +340,11 @@
 }
 
 func answer[T any](w http.ResponseWriter, p *T) {
-	w.Header().Set("Content-Type", "application/json")
-	if err := json.MarshalWrite(w, p, outgoing); err != nil {
-		panic(http.ErrAbortHandler) // The caller went away.
+	b, err := json.Marshal(p, outgoing)
+	if err != nil {
+		panic(http.ErrAbortHandler) // Nothing that the store holds can't be encoded.
 	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(b)))
+	_, _ = w.Write(b) // The caller may have gone away.
 }
--- a/internal/standin/world/world.go
+++ b/internal/standin/world/world.go
@@ -3,6 +3,7 @@
 package world
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"math/rand/v2"
@@ -95,7 +96,11 @@
 	Proxy *Proxy
 	// Seeds replace the world's first hosts in the settings, if there are any.
 	Seeds []netip.AddrPort
-	route *flows.Host
+	// CPUShare is the host's share of a core, 1 if it is zero.
+	CPUShare float64
+	// FirstStart says that the whole system starts for the first time.
+	FirstStart bool
+	route      *flows.Host
 }
 
 // Server is an upstream with its entry in the store.
@@ -362,11 +367,12 @@
 	}
 	at := func(port uint16) string { return strconv.Quote(netip.AddrPortFrom(h.IP, port).String()) }
 	return fmt.Sprintf(`{
-  "Name": %q, "Zone": %q, "CPUShare": 1, "Seeds": [%s],
+  "Name": %q, "Zone": %q, "CPUShare": %g, "FirstStart": %t, "Seeds": [%s],
   "DataAddress": %s, "ReadinessAddress": %s, "ControlAddress": %s, "AnnouncedAddress": %s, "MetricsAddress": %s,
   "Store": "http://%s", "Secret": "c2VjcmV0IG9mIHRoZSB3b3JsZA==",
 }
-`, h.Name, h.Zone, seeds, at(w.ports.Data), at(w.ports.Ready), at(w.ports.Control), at(w.ports.Peers), at(w.ports.Metrics),
+`, h.Name, h.Zone, cmp.Or(h.CPUShare, 1), h.FirstStart, seeds,
+		at(w.ports.Data), at(w.ports.Ready), at(w.ports.Control), at(w.ports.Peers), at(w.ports.Metrics),
 		netip.AddrPortFrom(h.IP, w.ports.Proxy))
 }
 
--- a/internal/version/objects/caller.go
+++ b/internal/version/objects/caller.go
@@ -23,8 +23,14 @@
 	Body   []byte
 	// Timeout bounds the call, since the connection may have gone silent.
 	Timeout time.Duration
+	// Hold, if it isn't nil, is asked before the content of an answer is read, once its size in
+	// bytes is known. The answer is given up with ErrGivenUp if it returns false.
+	Hold func(size int64) bool
 }
 
+// ErrGivenUp is returned for an answer that Hold didn't want.
+var ErrGivenUp = eris.New("objects: the answer was given up")
+
 // Answer is what a store answered.
 type Answer struct {
 	Status int
@@ -100,11 +106,12 @@
 	}
 	c.Counts.Calls.Add(1)
 	began := time.Now()
-	a, err := c.send(r)
+	a, err := c.send(r, call.Hold)
 	if err == nil {
 		c.Counts.Took.UpdateDuration(began)
 	}
 	switch {
+	case eris.Is(err, ErrGivenUp):
 	case err != nil:
 		c.Counts.Silent.Add(1)
 	case a.Status == http.StatusTooManyRequests || a.Status >= http.StatusInternalServerError:
@@ -113,12 +120,15 @@
 	return a, eris.Wrap(err, "store call")
 }
 
-func (c *Caller) send(r *http.Request) (Answer, error) {
+func (c *Caller) send(r *http.Request, hold func(int64) bool) (Answer, error) {
 	resp, err := c.http.Do(r)
 	if err != nil {
 		return Answer{}, err
 	}
 	defer func() { _ = resp.Body.Close() }() // The body was read or the call failed.
+	if hold != nil && resp.StatusCode == http.StatusOK && resp.ContentLength >= 0 && !hold(resp.ContentLength) {
+		return Answer{}, ErrGivenUp
+	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes+1))
 	if err == nil && len(body) > maxAnswerBytes {
 		err = eris.Errorf("the answer has more than %d bytes", maxAnswerBytes)
--- a/internal/version/objects/feed.go
+++ b/internal/version/objects/feed.go
@@ -42,6 +42,9 @@
 	From string
 	// Stale allows an answer that is some seconds old. It costs the store little.
 	Stale bool
+	// Hold, if it isn't nil, is asked before a page is read, once its size in bytes is known. The
+	// page is given up with ErrGivenUp if it returns false.
+	Hold func(size int64) bool
 }
 
 // Snapshot is a whole kind as it was at one revision.
