--- a/internal/connection/cookie/open.go
+++ b/internal/connection/cookie/open.go
@@ -20,10 +20,10 @@
 	f.copies = p.Copy
 	f.last = now
 	// An upstream that answers other flows lost a packet of this one. Any other may
-	// be dead or full, and waiting for a second copy would cost 400 ms more: 0.03 of a day
-	// on which a quarter of the upstreams falls silent. If no
-	// upstream is heard, the trouble is this host's, and another upstream would be as
-	// silent.
+	// be dead or full, and waiting for a second copy would cost 400 ms more: 3 of 100
+	// requests of 40 s in which a quarter of the upstreams falls silent are late or lost by it
+	// (docs/FURTHER.md, ablation). If no upstream is heard, the trouble is this host's, and another
+	// upstream would be as silent.
 	if f.up.usable() && (now.Sub(f.up.heard) < aliveFor || now.Sub(e.heard) >= aliveFor) {
 		return Verdict{Action: ActionForward, Cause: CauseRepeated, Upstream: f.up}
 	}
--- a/internal/connection/cookie/watch.go
+++ b/internal/connection/cookie/watch.go
@@ -47,9 +47,9 @@
 	u.alive(now)
 }
 
-// unanswered notes that a caller repeated a packet that went to an upstream. On days on which
-// upstreams fall silent this and the probes are worth 0.005 to 0.02 of all requests. It
-// says nothing while no upstream at all is heard: then this host is slow or cut off,
+// unanswered notes that a caller repeated a packet that went to an upstream. Without this and the
+// probes, 5 to 20 requests of 1,000 are lost or late in 40 s in which upstreams fall silent
+// (docs/FURTHER.md, ablation). It says nothing while no upstream at all is heard: then this host is slow or cut off,
 // or its link is full.
 func (e *Engine) unanswered(u *Upstream, now time.Time) {
 	if u.health == HealthGood && u.silent(now) && now.Sub(e.heard) < aliveFor {
--- a/internal/connection/upstream/zoned.go
+++ b/internal/connection/upstream/zoned.go
@@ -9,9 +9,9 @@
 
 // Zoned places new flows in the daemon's own zone as long as its upstreams there have
 // room, and in another zone while they are crowded and that one isn't: what crosses
-// zones is what a cut between them breaks, and its bytes are paid for: placing in all zones
-// alike costs 0.003 to 0.007 of a day with a cut. It takes the least loaded of a few
-// candidates that it draws. It isn't safe for concurrent use.
+// zones is what a cut between them breaks, and its bytes are paid for. Placing in all zones
+// alike loses 3 to 7 requests of 1,000 in 40 s with a cut (docs/FURTHER.md, ablation). It takes
+// the least loaded of a few candidates that it draws. It isn't safe for concurrent use.
 type Zoned struct {
 	zone    bundle.Zone
 	choices int
