--- a/internal/connection/peer/news.go
+++ b/internal/connection/peer/news.go
@@ -120,8 +120,8 @@
 	Zones []ZoneLoad
 	// Stamp grows with each report of a daemon that others pass on.
 	Stamp uint64
-	// StoreLost says that the sender reads the store and has no answer, or heard so from one that
-	// does.
+	// StoreLost says that the sender lives and has no fresh word of the store's: its own calls
+	// aren't answered, or nobody tells it what another's were.
 	StoreLost bool
 }
 
--- a/internal/connection/peer/start.go
+++ b/internal/connection/peer/start.go
@@ -61,6 +61,25 @@
 	return passed >= toldAfter+time.Duration(min(n.Rank, toldRanks))*toldStep
 }
 
+// AskPause returns how long a daemon waits before it asks the next member, of which part, 0 to 1,
+// says how much.
+func (s Start) AskPause(part float64) time.Duration {
+	pause := askPause
+	if s.First {
+		pause = firstAskPause
+	}
+	return time.Duration((0.5 + part) * float64(pause))
+}
+
+const (
+	// askPause is the mean of these times: a member that starts too is ready some 100 ms later.
+	askPause = 150 * time.Millisecond
+	// firstAskPause is that at the first start of a system. 195 hosts that ask three small seeds
+	// every 150 ms are four times more than those can answer, so that nobody finds its zone for
+	// seconds; nobody waits for them.
+	firstAskPause = 500 * time.Millisecond
+)
+
 // ReaderRank returns the rank by which the daemon follows the store once it can place flows, if
 // its view says rank. One that started just now knows few others and takes itself for the first:
 // after a loss of power 195 hosts would each follow the store until they had found each other.
--- a/internal/process/carrier/contacts.go
+++ b/internal/process/carrier/contacts.go
@@ -12,11 +12,15 @@
 )
 
 const (
-	// lonelyAfter is when a daemon that knows no other one asks the store for contacts:
-	// the seeds had six chances to answer. The pause to the next question doubles up
-	// to lonelyAtMost, since a system of a single host is alone for good.
-	lonelyAfter  = 2 * time.Second
+	// lonelyAfter is when a daemon that knows no other one asks the store for contacts: the seeds
+	// had three chances to answer. Soon after, peer.Start.ReaderRank lets it follow the store as one
+	// that is alone, at some two calls a second. The pause to the next question doubles up to
+	// lonelyAtMost, since a system of a single host is alone for good.
+	lonelyAfter  = 700 * time.Millisecond
 	lonelyAtMost = time.Minute
+	// lonelyAtFirst is the same at the first start of a system: nobody has written contacts, and
+	// nobody waits.
+	lonelyAtFirst = 2 * time.Second
 	// contactsPeriod is how often the reader looks whether the contacts in the store are
 	// out of date, by what it has read of them; contactsRead is how often it reads them
 	// again, so that two parts of the system that lost each other meet.
@@ -50,6 +54,9 @@
 
 func (k *contacts) run(ctx context.Context) {
 	pause := lonelyAfter
+	if k.c.start.First {
+		pause = lonelyAtFirst
+	}
 	for {
 		sleep(ctx, pause)
 		if ctx.Err() != nil {
--- a/internal/process/carrier/members.go
+++ b/internal/process/carrier/members.go
@@ -52,20 +52,24 @@
 	// met is told when a daemon that knew no other one knows some.
 	met chan struct{}
 
-	// mu guards group, epoch and nextSeed.
+	// mu guards what follows.
 	mu       sync.Mutex
 	group    *peer.Membership
 	epoch    uint64
 	nextSeed time.Time
+	// seedPeriod is the pause after the next question to the seeds.
+	seedPeriod time.Duration
 
 	in, out, inBytes, outBytes, dropped, pulls atomic.Uint64
 }
 
-// The periods at which the seeds are asked. Each daemon asks often until it knows
-// another one. Afterwards a rare question finds the other side of a split that
-// neither side noticed.
+// The periods at which the seeds are asked. Each daemon asks often at first, until it knows
+// another one, and each time after twice as long: a thousand hosts that start together take a
+// small seed seconds to answer, and longer with each question that is repeated. Afterwards a rare
+// question finds the other side of a split that neither side noticed.
 const (
 	seedPeriod      = 300 * time.Millisecond
+	maxSeedPeriod   = 2400 * time.Millisecond
 	knownSeedPeriod = 20 * time.Second
 )
 
@@ -75,7 +79,7 @@
 func (c *Carrier) startMembers(ctx context.Context) (func(), error) {
 	cfg := c.cfg.Load()
 	m := &members{
-		c: c, loads: newZoneLoads(), lines: newMemberLog(), passed: newStamps(),
+		c: c, seedPeriod: seedPeriod, loads: newZoneLoads(), lines: newMemberLog(), passed: newStamps(),
 		telling: make(chan struct{}, max(minTold, int(toldByCore*cfg.CPUShare))), met: make(chan struct{}, 1),
 	}
 	m.stamp.Store(uint64(c.started.UnixNano()))
@@ -322,7 +326,8 @@
 		if now.Before(m.nextSeed) {
 			return out
 		}
-		m.nextSeed = now.Add(seedPeriod)
+		m.nextSeed = now.Add(m.seedPeriod)
+		m.seedPeriod = min(2*m.seedPeriod, maxSeedPeriod)
 		if len(m.view.Load().Members) > 1 && m.c.start.ready.happened() {
 			m.nextSeed = now.Add(knownSeedPeriod/2 + rand.N(knownSeedPeriod))
 		}
--- a/internal/process/carrier/start.go
+++ b/internal/process/carrier/start.go
@@ -66,10 +66,8 @@
 	otherKindAfter = 200 * time.Millisecond
 	// startPoll is how often a daemon that isn't ready looks whether it should read the store.
 	startPoll = 10 * time.Millisecond
-	// askPause lies between two questions of a daemon that nobody waits for, hurriedPause between
-	// those of one whose callers wait: a member that isn't ready refuses at once, and is ready
-	// some 10 ms later.
-	askPause     = 150 * time.Millisecond
+	// hurriedPause lies between two questions to larger members while callers wait: one that isn't
+	// ready refuses at once, and is ready some 10 ms later.
 	hurriedPause = 15 * time.Millisecond
 	// tellerAnswer bounds a question. A list of 300 upstreams takes 50 ms on a host with a
 	// sixteenth of a core.
@@ -93,7 +91,7 @@
 			m.ask(tellers[try%len(tellers)])
 			try++
 		}
-		pause := askPause/2 + rand.N(askPause)
+		pause := s.AskPause(rand.Float64())
 		if len(larger) > 0 {
 			pause = hurriedPause
 		}
--- a/internal/process/carrier/store.go
+++ b/internal/process/carrier/store.go
@@ -143,13 +143,17 @@
 	return !known
 }
 
-// storeLost reports whether this daemon has no answer from the store, and whether it or one it
-// heard of has none.
+// storeLost reports whether this daemon's own calls of the store aren't answered, and whether it
+// has no fresh word of the store's from anybody. A call that hangs shows itself only after a
+// second and a half, when the whole zone would have turned to the store.
 func (c *Carrier) storeLost(now time.Time) (own, any bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if !c.engine.Ready() {
+		return false, false
+	}
 	own = !c.failing.IsZero() && now.Sub(c.failing) < failingFor
-	return own, own || c.reading.StoreIsLost(now)
+	return own, own || c.reading.StoreIsLost(now) || now.Sub(c.confirmed()) > staleNews
 }
 
 // failingFor is how long a failed call counts: more than the pause to the next one of the first
