--- a/internal/process/carrier/data.go
+++ b/internal/process/carrier/data.go
@@ -55,9 +55,6 @@
 func (d *data) run(ctx context.Context) {
 	buf := make([]byte, maxPacketBytes)
 	head := d.c.platform.Packets.Headroom()
-	if !d.first(ctx, buf) {
-		return
-	}
 	pauses := d.c.pauses.Seen(time.Now())
 	for {
 		n, err := d.conn.Read(buf[head:])
@@ -68,39 +65,35 @@
 			d.failed.Add(1) // Such as a port that an upstream closed; the next packet may pass.
 			continue
 		}
+		late, ok := d.await(ctx)
+		if !ok {
+			return
+		}
 		now := time.Now()
 		if seen := d.c.pauses.Seen(now); seen != pauses {
-			pauses = seen
+			pauses, late = seen, true
 			d.paused(now)
-			d.handle(buf[:head+n], now, true)
+		}
+		d.handle(buf[:head+n], now, late)
+		if late {
 			d.drain(buf)
-			continue
 		}
-		d.handle(buf[:head+n], now, false)
 	}
 }
 
-// first handles the first packet that comes. If flows can't be placed yet, it and those behind
-// it wait, and the daemon learns that callers do. It returns false if the daemon ends before.
-func (d *data) first(ctx context.Context, buf []byte) bool {
-	head := d.c.platform.Packets.Headroom()
-	n, err := d.conn.Read(buf[head:])
-	for err != nil && !eris.Is(err, net.ErrClosed) {
-		d.failed.Add(1)
-		n, err = d.conn.Read(buf[head:])
+// await lets a packet that came wait until flows can be placed; those behind it wait in the
+// socket. The daemon learns by it that callers wait. It reports whether that took long, and false
+// if the daemon ends before.
+func (d *data) await(ctx context.Context) (late, ok bool) {
+	if d.c.start.ready.happened() {
+		return false, true
 	}
 	came := time.Now()
 	d.c.start.callersWait.happen()
-	if err != nil || !d.c.awaitReady(ctx) {
-		return false
-	}
-	now := time.Now()
-	waited := now.Sub(came) > freshStart
-	d.handle(buf[:head+n], now, waited)
-	if waited {
-		d.drain(buf)
+	if !d.c.awaitReady(ctx) {
+		return false, false
 	}
-	return true
+	return time.Since(came) > freshStart, true
 }
 
 func (d *data) paused(now time.Time) {
--- a/internal/process/carrier/news.go
+++ b/internal/process/carrier/news.go
@@ -265,7 +265,7 @@
 		case m.telling <- struct{}{}:
 			defer func() { <-m.telling }()
 		default:
-			return nil, &jsonrpc2.Error{Code: codeBusy, Message: errBusy.Error()}
+			return nil, &jsonrpc2.Error{Code: codeBusy, Message: "others are told already"}
 		}
 	}
 	out := m.c.tell(params)
--- a/internal/process/carrier/start.go
+++ b/internal/process/carrier/start.go
@@ -8,7 +8,6 @@
 	"sync"
 	"time"
 
-	"github.com/rotisserie/eris"
 	"k8s.io/klog/v2"
 
 	"github.com/fescueshed/fescueshed/internal/connection/peer"
@@ -213,6 +212,3 @@
 		return true
 	}
 }
-
-// errBusy says that as many newcomers are told already as the host can bear.
-var errBusy = eris.New("others are told already")
