--- a/internal/connection/peer/rpc.go
+++ b/internal/connection/peer/rpc.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/netip"
 	"sync"
 
 	"github.com/rotisserie/eris"
 	"github.com/sourcegraph/jsonrpc2"
+
+	"github.com/fescueshed/fescueshed/internal/version/transfer"
 )
 
 // ServeRPC serves JSON-RPC 2.0 to other daemons over TCP until the clean-up
@@ -46,19 +49,29 @@
 }
 
 // CallRPC makes one call to another daemon and decodes its result into a T. The
-// context bounds it, since the connection may go silent.
-func CallRPC[T any](ctx context.Context, to netip.AddrPort, method string, params any) (T, error) {
+// context bounds it, since the connection may go silent. meter counts what arrives.
+func CallRPC[T any](ctx context.Context, to netip.AddrPort, method string, params any, meter *transfer.Meter) (T, error) {
 	var out T
 	var nd net.Dialer
 	c, err := nd.DialContext(ctx, "tcp", to.String())
 	if err != nil {
 		return out, eris.Wrap(err, "rpc")
 	}
-	conn := jsonrpc2.NewConn(ctx, jsonrpc2.NewBufferedStream(c, jsonrpc2.VSCodeObjectCodec{}), noHandler{})
+	stream := jsonrpc2.NewBufferedStream(meteredConn{Conn: c, in: meter.Reader(c)}, jsonrpc2.VSCodeObjectCodec{})
+	conn := jsonrpc2.NewConn(ctx, stream, noHandler{})
 	defer func() { _ = conn.Close() }()
 	return out, eris.Wrap(conn.Call(ctx, method, params, &out), "rpc")
 }
 
+// meteredConn is a connection whose incoming bytes are counted.
+type meteredConn struct {
+	net.Conn
+	in io.Reader
+}
+
+// Read implements io.Reader.
+func (c meteredConn) Read(b []byte) (int, error) { return c.in.Read(b) }
+
 // noHandler ignores requests on a connection that only calls.
 type noHandler struct{}
 
--- a/internal/process/carrier/http.go
+++ b/internal/process/carrier/http.go
@@ -15,6 +15,7 @@
 
 	"github.com/fescueshed/fescueshed/internal/connection/cookie"
 	"github.com/fescueshed/fescueshed/internal/process/status"
+	"github.com/fescueshed/fescueshed/internal/version/transfer"
 )
 
 const readHeaderTimeout = 5 * time.Second
@@ -76,7 +77,9 @@
 	count("fescueshed_control_received_bytes_total", c.members.inBytes.Load)
 	count("fescueshed_control_sent_bytes_total", c.members.outBytes.Load)
 	count("fescueshed_control_dropped_total", c.members.dropped.Load)
-	count("fescueshed_catalogs_fetched_total", c.members.pulls.Load)
+	count("fescueshed_catalogs_fetched_total", c.members.pulls.Begun.Load)
+	countTransfers(count, "fescueshed_catalogs", &c.members.pulls)
+	countTransfers(count, "fescueshed_store_answers", &c.platform.Store.Counts.Answers)
 	count("fescueshed_log_lines_left_out_total", c.logs.leftOut.Load)
 	s.NewGauge("fescueshed_flows", func() float64 { return float64(c.flows()) })
 	s.NewGauge("fescueshed_members", func() float64 { return float64(c.Members()) })
@@ -89,6 +92,14 @@
 	return s
 }
 
+// countTransfers names the counters of what was fetched: what is wasted came and had to be thrown
+// away, since the rest of it didn't come in time.
+func countTransfers(count func(string, func() uint64), name string, t *transfer.Counts) {
+	count(name+"_failed_total", t.Failed.Load)
+	count(name+"_bytes_total", t.Bytes.Load)
+	count(name+"_wasted_bytes_total", t.Wasted.Load)
+}
+
 // writeRequests writes how requests ended, by service, which are known only as they come.
 func (c *Carrier) writeRequests(w io.Writer) {
 	for _, r := range c.Status().Requests {
--- a/internal/process/carrier/members.go
+++ b/internal/process/carrier/members.go
@@ -13,8 +13,10 @@
 	"k8s.io/klog/v2"
 
 	"github.com/fescueshed/fescueshed/internal/connection/peer"
+	"github.com/fescueshed/fescueshed/internal/process/logs"
 	"github.com/fescueshed/fescueshed/internal/process/udpport"
 	"github.com/fescueshed/fescueshed/internal/version/bundle"
+	"github.com/fescueshed/fescueshed/internal/version/transfer"
 )
 
 // protocol is the first byte of a datagram between daemons.
@@ -60,7 +62,11 @@
 	// seedPeriod is the pause after the next question to the seeds.
 	seedPeriod time.Duration
 
-	in, out, inBytes, outBytes, dropped, pulls atomic.Uint64
+	in, out, inBytes, outBytes, dropped atomic.Uint64
+	// pulls counts what was fetched from other daemons. pullLines bounds the lines about fetches
+	// that failed.
+	pulls     transfer.Counts
+	pullLines *logs.Limiter
 }
 
 // The periods at which the seeds are asked. Each daemon asks often at first, until it knows
@@ -80,7 +86,8 @@
 	cfg := c.cfg.Load()
 	m := &members{
 		c: c, seedPeriod: seedPeriod, loads: newZoneLoads(), lines: newMemberLog(), passed: newStamps(),
-		telling: make(chan struct{}, max(minTold, int(toldByCore*cfg.CPUShare))), met: make(chan struct{}, 1),
+		pullLines: logs.NewLimiter(pullLines),
+		telling:   make(chan struct{}, max(minTold, int(toldByCore*cfg.CPUShare))), met: make(chan struct{}, 1),
 	}
 	m.stamp.Store(uint64(c.started.UnixNano()))
 	if err := m.newCodecs(keys(cfg)); err != nil {
--- a/internal/process/carrier/news.go
+++ b/internal/process/carrier/news.go
@@ -13,6 +13,7 @@
 
 	"github.com/fescueshed/fescueshed/internal/connection/cookie"
 	"github.com/fescueshed/fescueshed/internal/connection/peer"
+	"github.com/fescueshed/fescueshed/internal/version/transfer"
 )
 
 const (
@@ -172,7 +173,6 @@
 // fetch asks another daemon for what this one lacks: a newer bundle, changed
 // upstreams, members, and upstreams that went.
 func (m *members) fetch(from netip.AddrPort, timeout time.Duration) error {
-	m.pulls.Add(1)
 	ctx, cancel := context.WithTimeout(m.ctx, timeout)
 	defer cancel()
 	sent := time.Now()
@@ -188,11 +188,7 @@
 	m.mu.Lock()
 	params.MembersDigest = m.group.Digest()
 	m.mu.Unlock()
-	sealed, err := peer.CallRPC[[]byte](ctx, from, peer.MethodCatalog, params)
-	if err != nil {
-		return err
-	}
-	got, err := m.catalog.Decode(sealed)
+	got, err := m.askCatalog(ctx, from, params)
 	if err != nil {
 		return err
 	}
@@ -213,6 +209,35 @@
 	return nil
 }
 
+// askCatalog asks another daemon for a catalog. A failure is logged with how much of the answer had
+// come: much, again and again, shows a link that is too thin for the time that the answer has.
+func (m *members) askCatalog(ctx context.Context, from netip.AddrPort, params peer.CatalogParams) (*peer.Catalog, error) {
+	began := time.Now()
+	meter := m.pulls.Begin()
+	sealed, err := peer.CallRPC[[]byte](ctx, from, peer.MethodCatalog, params, meter)
+	var got *peer.Catalog
+	if err == nil {
+		got, err = m.catalog.Decode(sealed)
+	}
+	meter.End(err)
+	if err != nil && meter.Bytes() > 0 {
+		m.logBrokenOff(from, meter, time.Since(began), err)
+	}
+	return got, err
+}
+
+// pullLines is how many lines a second tell of fetches that broke off.
+const pullLines = 2
+
+func (m *members) logBrokenOff(from netip.AddrPort, meter *transfer.Meter, after time.Duration, err error) {
+	m.mu.Lock()
+	left, ok := m.pullLines.Allow(time.Now())
+	m.mu.Unlock()
+	if ok {
+		klog.InfoS("Catalog broke off", "From", from, "After", after, "Bytes", meter.Bytes(), "Error", err.Error(), "LeftOut", left)
+	}
+}
+
 // takeCatalog takes in a list that another daemon knew as of a time. It returns resets for
 // flows that ended by it.
 func (c *Carrier) takeCatalog(got *peer.Catalog, as, now time.Time) []cookie.Reset {
--- a/internal/process/carrier/start.go
+++ b/internal/process/carrier/start.go
@@ -116,7 +116,7 @@
 	s := m.c.start
 	klog.InfoS("Ready", "After", time.Since(s.Began).Round(time.Millisecond),
 		"CallersWaited", s.callersWait.happened(), "LongList", s.listIsLong.happened(),
-		"StoreCalls", m.c.platform.Store.Counts.Calls.Load(), "MembersAsked", m.pulls.Load(),
+		"StoreCalls", m.c.platform.Store.Counts.Calls.Load(), "MembersAsked", m.pulls.Begun.Load(),
 		"Rank", m.view.Load().ReaderRank(), "Members", len(m.view.Load().Members))
 }
 
--- a/internal/process/daemon/bundles.go
+++ b/internal/process/daemon/bundles.go
@@ -13,6 +13,7 @@
 
 	"github.com/fescueshed/fescueshed/internal/version/bundle"
 	"github.com/fescueshed/fescueshed/internal/version/platform"
+	"github.com/fescueshed/fescueshed/internal/version/transfer"
 )
 
 // Times of the platform's watch.
@@ -46,6 +47,8 @@
 	ctx      context.Context
 
 	refused, platformErrors, fromPeers, fromPlatform atomic.Uint64
+	// fetches counts what was fetched from other members.
+	fetches transfer.Counts
 }
 
 func newBundles(ctx context.Context, d *Daemon) *bundles {
@@ -155,7 +158,9 @@
 	}()
 	ctx, cancel := context.WithTimeout(b.ctx, fetchWait)
 	defer cancel()
-	s, err := fetchBundle(ctx, from)
+	meter := b.fetches.Begin()
+	s, err := fetchBundle(ctx, from, meter)
+	meter.End(err)
 	if err == nil {
 		err = b.take(s, &b.fromPeers)
 	}
--- a/internal/process/daemon/rpc.go
+++ b/internal/process/daemon/rpc.go
@@ -9,6 +9,7 @@
 
 	"github.com/fescueshed/fescueshed/internal/connection/peer"
 	"github.com/fescueshed/fescueshed/internal/version/bundle"
+	"github.com/fescueshed/fescueshed/internal/version/transfer"
 )
 
 // methodBundle returns the signed bundle that the daemon has in force.
@@ -36,8 +37,8 @@
 
 // fetchBundle asks another daemon for its bundle. What comes is trusted only by
 // its signature.
-func fetchBundle(ctx context.Context, from netip.AddrPort) (*bundle.Signed, error) {
-	raw, err := peer.CallRPC[json.RawMessage](ctx, from, methodBundle, nil)
+func fetchBundle(ctx context.Context, from netip.AddrPort, meter *transfer.Meter) (*bundle.Signed, error) {
+	raw, err := peer.CallRPC[json.RawMessage](ctx, from, methodBundle, nil, meter)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/standin/world/proxy.go
+++ b/internal/standin/world/proxy.go
@@ -49,6 +49,7 @@
 
 	mu    sync.Mutex
 	fault LinkFault
+	rate  *Rate
 	conns map[net.Conn]struct{}
 }
 
@@ -85,6 +86,23 @@
 	}
 }
 
+// SetRate bounds how fast answers pass. Proxies that share a rate share a link. Nil is no bound.
+func (p *Proxy) SetRate(r *Rate) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.rate = r
+}
+
+// await waits until the link can carry so many more bytes of an answer.
+func (p *Proxy) await(n int) {
+	p.mu.Lock()
+	r := p.rate
+	p.mu.Unlock()
+	if r != nil {
+		r.await(n)
+	}
+}
+
 func (p *Proxy) cut() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -171,6 +189,9 @@
 		if f == LinkSlow {
 			time.Sleep(slowLink)
 		}
+		if answers {
+			p.await(n)
+		}
 		if _, err := dst.Write(buf[:n]); err != nil {
 			return
 		}
--- a/internal/standin/world/world.go
+++ b/internal/standin/world/world.go
@@ -29,8 +29,11 @@
 	slotsPerServer = 4
 	// serverNet and linkNet are the second byte of the addresses of upstreams and of
 	// the relays before them.
-	serverNet      = 2
-	linkNet        = 3
+	serverNet = 2
+	linkNet   = 3
+	// idleNet is the second byte of the addresses of routes that no caller uses.
+	idleNet        = 19
+	idlePort       = 443
 	connections    = 2000
 	idleTimeout    = 15 * time.Second
 	maxVersionStep = 5
@@ -86,6 +89,8 @@
 	switches  []switched
 	unstable  time.Time
 	lastRoute string
+	// idleRoutes are routes of the bundle that no caller uses.
+	idleRoutes int
 }
 
 // Host is where a balancer runs.
@@ -101,6 +106,8 @@
 	// FirstStart says that the whole system starts for the first time.
 	FirstStart bool
 	route      *flows.Host
+	// peers is what other daemons' connections pass.
+	peers *Proxy
 }
 
 // Server is an upstream with its entry in the store.
@@ -220,7 +227,7 @@
 	w.cuts.mu.Lock()
 	w.cuts.zones[ip] = h.Zone
 	w.cuts.mu.Unlock()
-	stop, err = link(ctx, netip.AddrPortFrom(ip, w.ports.Peers), netip.AddrPortFrom(ip, w.ports.Control), w.cuts.toHost(h))
+	h.peers, stop, err = link(ctx, netip.AddrPortFrom(ip, w.ports.Peers), netip.AddrPortFrom(ip, w.ports.Control), w.cuts.toHost(h))
 	if err != nil {
 		return nil, err
 	}
@@ -235,17 +242,17 @@
 
 // link passes datagrams and connections on from one address to another. The clean-up
 // function ends it.
-func link(ctx context.Context, at, to netip.AddrPort, blocked func(from netip.Addr) bool) (func(), error) {
+func link(ctx context.Context, at, to netip.AddrPort, blocked func(from netip.Addr) bool) (*Proxy, func(), error) {
 	_, stopRelay, err := NewRelay(at, to, blocked)
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
-	_, stopProxy, err := NewProxy(ctx, at, to, blocked)
+	p, stopProxy, err := NewProxy(ctx, at, to, blocked)
 	if err != nil {
 		stopRelay()
-		return nil, err
+		return nil, nil, err
 	}
-	return func() {
+	return p, func() {
 		stopRelay()
 		stopProxy()
 	}, nil
@@ -304,7 +311,7 @@
 	ip := s.Address.Addr().As4()
 	ip[1] = linkNet
 	s.at = netip.AddrPortFrom(netip.AddrFrom4(ip), s.Address.Port())
-	stop, err := link(context.Background(), s.at, s.Address, w.cuts.toServer(s))
+	_, stop, err := link(context.Background(), s.at, s.Address, w.cuts.toServer(s))
 	if err != nil {
 		return err
 	}
@@ -335,6 +342,10 @@
 			route("feed", feedAt, ServiceFeed), route("sheets", sheetsAt, ServiceSheets), route("switch", switchAt, w.lastRoute),
 		},
 	}
+	for i := range w.idleRoutes {
+		at := netip.AddrFrom4([4]byte{198, idleNet, byte(i >> 8), byte(i)})
+		b.Routes = append(b.Routes, route(fmt.Sprint("idle-", i), netip.AddrPortFrom(at, idlePort), ServiceSheets))
+	}
 	for _, name := range []string{ServiceFeed, ServiceSheets} {
 		b.Services = append(b.Services, bundle.Service{
 			Name: name, Registered: true, HealthPath: "/healthz", Connections: connections,
@@ -346,6 +357,13 @@
 	return w.version
 }
 
+// Grow adds routes that no caller uses to the next versions of the bundle.
+func (w *World) Grow(routes int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.idleRoutes += routes
+}
+
 func route(name string, at netip.AddrPort, service string) bundle.Route {
 	return bundle.Route{
 		Name: name, Address: at, Targets: []bundle.Target{{Service: service, Weight: 1}},
--- a/internal/version/objects/caller.go
+++ b/internal/version/objects/caller.go
@@ -12,6 +12,8 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/rotisserie/eris"
+
+	"github.com/fescueshed/fescueshed/internal/version/transfer"
 )
 
 // Call is one call of a store.
@@ -45,6 +47,8 @@
 	Calls, Refused, Silent atomic.Uint64
 	// Took holds the times of answered calls in seconds, the wait of watches included.
 	Took metrics.Histogram
+	// Answers counts the bytes of answers, those without any too.
+	Answers transfer.Counts
 }
 
 // Caller calls a store over HTTP. It is safe for concurrent use.
@@ -106,7 +110,9 @@
 	}
 	c.Counts.Calls.Add(1)
 	began := time.Now()
-	a, err := c.send(r, call.Hold)
+	meter := c.Counts.Answers.Begin()
+	a, err := c.send(r, call.Hold, meter)
+	meter.End(err)
 	if err == nil {
 		c.Counts.Took.UpdateDuration(began)
 	}
@@ -120,7 +126,7 @@
 	return a, eris.Wrap(err, "store call")
 }
 
-func (c *Caller) send(r *http.Request, hold func(int64) bool) (Answer, error) {
+func (c *Caller) send(r *http.Request, hold func(int64) bool, meter *transfer.Meter) (Answer, error) {
 	resp, err := c.http.Do(r)
 	if err != nil {
 		return Answer{}, err
@@ -129,7 +135,7 @@
 	if hold != nil && resp.StatusCode == http.StatusOK && resp.ContentLength >= 0 && !hold(resp.ContentLength) {
 		return Answer{}, ErrGivenUp
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes+1))
+	body, err := io.ReadAll(io.LimitReader(meter.Reader(resp.Body), maxAnswerBytes+1))
 	if err == nil && len(body) > maxAnswerBytes {
 		err = eris.Errorf("the answer has more than %d bytes", maxAnswerBytes)
 	}
