transfer: an answer is given up when it stops coming, not when it takes long

Cause: a fetch from a member had 1 s, a list of the store 0.7 s, a watch 1.5 s, all told, however large the answer. A bundle of 650 KB takes a link of 10 Mbit/s over half of that, and two transfers at once take it from each other: both end at their deadline, shortly before their end, and begin anew. Ruled out by counts: the tellers (large hosts' fetches never broke off), the processors (1 to 4 % of 6.1). Change: an answer has a time to begin, and then 700 ms (a member at a start: 250 ms) without a byte; 10 s more in any case. The same for the first carriage, whose members' bundles had 3 s, and for its platform's watch. The test of a watch that brings too much now waits until the daemon follows by watches: before, it passed if the store failed in the daemon's first second, in which it lists whatever it knows. It still fails here, as it should.

--- a/internal/connection/peer/rpc.go
+++ b/internal/connection/peer/rpc.go
@@ -48,29 +48,43 @@
 	}
 }
 
-// CallRPC makes one call to another daemon and decodes its result into a T. The
-// context bounds it, since the connection may go silent. meter counts what arrives.
-func CallRPC[T any](ctx context.Context, to netip.AddrPort, method string, params any, meter *transfer.Meter) (T, error) {
+// CallRPC makes one call to another daemon and decodes its result into a T. It is given up when the
+// answer doesn't begin in the time that l gives it, or stops coming; counts has the rest.
+func CallRPC[T any](
+	ctx context.Context, to netip.AddrPort, call RPC, l transfer.Limits, counts *transfer.Counts,
+) (T, *transfer.Transfer, error) {
+	ctx, t := counts.Begin(ctx, l)
+	out, err := callRPC[T](ctx, to, call, t)
+	return out, t, eris.Wrap(t.End(err), "rpc")
+}
+
+// RPC is a call: a method and what it is told.
+type RPC struct {
+	Method string
+	Params any
+}
+
+func callRPC[T any](ctx context.Context, to netip.AddrPort, call RPC, t *transfer.Transfer) (T, error) {
 	var out T
 	var nd net.Dialer
 	c, err := nd.DialContext(ctx, "tcp", to.String())
 	if err != nil {
-		return out, eris.Wrap(err, "rpc")
+		return out, err
 	}
-	stream := jsonrpc2.NewBufferedStream(meteredConn{Conn: c, in: meter.Reader(c)}, jsonrpc2.VSCodeObjectCodec{})
+	stream := jsonrpc2.NewBufferedStream(watchedConn{Conn: c, in: t.Reader(c)}, jsonrpc2.VSCodeObjectCodec{})
 	conn := jsonrpc2.NewConn(ctx, stream, noHandler{})
 	defer func() { _ = conn.Close() }()
-	return out, eris.Wrap(conn.Call(ctx, method, params, &out), "rpc")
+	return out, conn.Call(ctx, call.Method, call.Params, &out)
 }
 
-// meteredConn is a connection whose incoming bytes are counted.
-type meteredConn struct {
+// watchedConn is a connection of which a transfer watches what arrives.
+type watchedConn struct {
 	net.Conn
 	in io.Reader
 }
 
 // Read implements io.Reader.
-func (c meteredConn) Read(b []byte) (int, error) { return c.in.Read(b) }
+func (c watchedConn) Read(b []byte) (int, error) { return c.in.Read(b) }
 
 // noHandler ignores requests on a connection that only calls.
 type noHandler struct{}
--- a/internal/process/carrier/large_test.go
+++ b/internal/process/carrier/large_test.go
@@ -141,6 +141,8 @@
 	w.Roll()
 	n := largeNode(t, w, w.Hosts[0])
 	g.Eventually(n.Ready, patience).Should(BeTrue())
+	// A daemon that has just started lists, whatever it knows; by then it follows by watches.
+	g.Eventually(func() int { return n.metric("fescueshed_store_calls_total") }, patience).Should(BeNumerically(">=", 10))
 	w.Store.SetTrouble(metadata.Trouble{Status: http.StatusServiceUnavailable})
 	g.Eventually(func() int { return n.metric("fescueshed_store_calls_refused_total") }, patience).Should(BeNumerically(">=", 2))
 	v := w.Roll()
--- a/internal/process/carrier/news.go
+++ b/internal/process/carrier/news.go
@@ -22,7 +22,8 @@
 	newsSpan = 3 * sweepPeriod
 	// staleNews is how old the store's word may be for a daemon to pass it on.
 	staleNews = 1500 * time.Millisecond
-	// pullTimeout bounds the fetching of everything from another daemon.
+	// pullTimeout is how long the answer of another daemon that is asked for everything may take to
+	// begin.
 	pullTimeout = time.Second
 	// pullPause and urgentPause are the least times between two. A member that is told
 	// different lists by two readers would else fill the link of a small host.
@@ -173,8 +174,6 @@
 // fetch asks another daemon for what this one lacks: a newer bundle, changed
 // upstreams, members, and upstreams that went.
 func (m *members) fetch(from netip.AddrPort, timeout time.Duration) error {
-	ctx, cancel := context.WithTimeout(m.ctx, timeout)
-	defer cancel()
 	sent := time.Now()
 	c := m.c
 	c.mu.Lock()
@@ -188,7 +187,7 @@
 	m.mu.Lock()
 	params.MembersDigest = m.group.Digest()
 	m.mu.Unlock()
-	got, err := m.askCatalog(ctx, from, params)
+	got, err := m.askCatalog(from, params, timeout)
 	if err != nil {
 		return err
 	}
@@ -211,30 +210,30 @@
 
 // askCatalog asks another daemon for a catalog. A failure is logged with how much of the answer had
 // come: much, again and again, shows a link that is too thin for the time that the answer has.
-func (m *members) askCatalog(ctx context.Context, from netip.AddrPort, params peer.CatalogParams) (*peer.Catalog, error) {
+func (m *members) askCatalog(from netip.AddrPort, params peer.CatalogParams, timeout time.Duration) (*peer.Catalog, error) {
 	began := time.Now()
-	meter := m.pulls.Begin()
-	sealed, err := peer.CallRPC[[]byte](ctx, from, peer.MethodCatalog, params, meter)
-	var got *peer.Catalog
-	if err == nil {
-		got, err = m.catalog.Decode(sealed)
+	sealed, t, err := peer.CallRPC[[]byte](
+		m.ctx, from, peer.RPC{Method: peer.MethodCatalog, Params: params},
+		transfer.Limits{Begin: timeout, Stall: min(timeout, transfer.DefaultStall)}, &m.pulls,
+	)
+	if err != nil && t.Bytes() > 0 {
+		m.logBrokenOff(from, t.Bytes(), time.Since(began), err)
 	}
-	meter.End(err)
-	if err != nil && meter.Bytes() > 0 {
-		m.logBrokenOff(from, meter, time.Since(began), err)
+	if err != nil {
+		return nil, err
 	}
-	return got, err
+	return m.catalog.Decode(sealed)
 }
 
 // pullLines is how many lines a second tell of fetches that broke off.
 const pullLines = 2
 
-func (m *members) logBrokenOff(from netip.AddrPort, meter *transfer.Meter, after time.Duration, err error) {
+func (m *members) logBrokenOff(from netip.AddrPort, got uint64, after time.Duration, err error) {
 	m.mu.Lock()
 	left, ok := m.pullLines.Allow(time.Now())
 	m.mu.Unlock()
 	if ok {
-		klog.InfoS("Catalog broke off", "From", from, "After", after, "Bytes", meter.Bytes(), "Error", err.Error(), "LeftOut", left)
+		klog.InfoS("Catalog broke off", "From", from, "After", after, "Bytes", got, "Error", err.Error(), "LeftOut", left)
 	}
 }
 
--- a/internal/process/daemon/bundles.go
+++ b/internal/process/daemon/bundles.go
@@ -21,7 +21,8 @@
 	watchWait  = 10 * time.Second
 	minBackoff = 250 * time.Millisecond
 	maxBackoff = 8 * time.Second
-	fetchWait  = 3 * time.Second
+	// fetchWait is how long a member's bundle may take to begin to arrive.
+	fetchWait = 3 * time.Second
 	// watcherPeriod is how soon a daemon takes over from a watcher that died.
 	watcherPeriod = time.Second
 )
@@ -156,11 +157,7 @@
 		b.fetching = false
 		b.mu.Unlock()
 	}()
-	ctx, cancel := context.WithTimeout(b.ctx, fetchWait)
-	defer cancel()
-	meter := b.fetches.Begin()
-	s, err := fetchBundle(ctx, from, meter)
-	meter.End(err)
+	s, err := fetchBundle(b.ctx, from, &b.fetches)
 	if err == nil {
 		err = b.take(s, &b.fromPeers)
 	}
--- a/internal/process/daemon/rpc.go
+++ b/internal/process/daemon/rpc.go
@@ -37,8 +37,9 @@
 
 // fetchBundle asks another daemon for its bundle. What comes is trusted only by
 // its signature.
-func fetchBundle(ctx context.Context, from netip.AddrPort, meter *transfer.Meter) (*bundle.Signed, error) {
-	raw, err := peer.CallRPC[json.RawMessage](ctx, from, methodBundle, nil, meter)
+func fetchBundle(ctx context.Context, from netip.AddrPort, counts *transfer.Counts) (*bundle.Signed, error) {
+	l := transfer.Limits{Begin: fetchWait, Stall: transfer.DefaultStall}
+	raw, _, err := peer.CallRPC[json.RawMessage](ctx, from, peer.RPC{Method: methodBundle}, l, counts)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/version/objects/caller.go
+++ b/internal/version/objects/caller.go
@@ -23,15 +23,22 @@
 	Query  url.Values
 	Header http.Header
 	Body   []byte
-	// Timeout bounds the call, since the connection may have gone silent.
+	// Timeout is how long the answer may take to begin, since the connection may have gone silent.
+	// What has begun may take as long as it goes on coming.
 	Timeout time.Duration
+	// Most bounds the bytes of the answer, maxAnswerBytes if it is zero.
+	Most int64
 	// Hold, if it isn't nil, is asked before the content of an answer is read, once its size in
 	// bytes is known. The answer is given up with ErrGivenUp if it returns false.
 	Hold func(size int64) bool
 }
 
-// ErrGivenUp is returned for an answer that Hold didn't want.
-var ErrGivenUp = eris.New("objects: the answer was given up")
+var (
+	// ErrGivenUp is returned for an answer that Hold didn't want.
+	ErrGivenUp = eris.New("objects: the answer was given up")
+	// ErrTooLarge is returned for an answer of more bytes than it may have.
+	ErrTooLarge = eris.New("objects: the answer is too large")
+)
 
 // Answer is what a store answered.
 type Answer struct {
@@ -92,32 +99,27 @@
 // Do makes a call. An error means that nothing is known of its effect. A
 // connection whose call timed out isn't used again.
 func (c *Caller) Do(ctx context.Context, call Call) (Answer, error) {
-	if call.Timeout > 0 {
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, call.Timeout)
-		defer cancel()
-	}
 	at := *c.base.Load() + call.Path
 	if len(call.Query) > 0 {
 		at += "?" + call.Query.Encode()
 	}
+	c.Counts.Calls.Add(1)
+	began := time.Now()
+	ctx, t := c.Counts.Answers.Begin(ctx, transfer.Limits{Begin: call.Timeout, Stall: transfer.DefaultStall})
 	r, err := http.NewRequestWithContext(ctx, call.Method, at, bytes.NewReader(call.Body))
 	if err != nil {
-		return Answer{}, eris.Wrap(err, "store call")
+		return Answer{}, eris.Wrap(t.End(err), "store call")
 	}
 	if call.Header != nil {
 		r.Header = call.Header
 	}
-	c.Counts.Calls.Add(1)
-	began := time.Now()
-	meter := c.Counts.Answers.Begin()
-	a, err := c.send(r, call.Hold, meter)
-	meter.End(err)
+	a, err := c.send(r, &call, t)
+	err = t.End(err)
 	if err == nil {
 		c.Counts.Took.UpdateDuration(began)
 	}
 	switch {
-	case eris.Is(err, ErrGivenUp):
+	case eris.Is(err, ErrGivenUp), eris.Is(err, ErrTooLarge):
 	case err != nil:
 		c.Counts.Silent.Add(1)
 	case a.Status == http.StatusTooManyRequests || a.Status >= http.StatusInternalServerError:
@@ -126,18 +128,25 @@
 	return a, eris.Wrap(err, "store call")
 }
 
-func (c *Caller) send(r *http.Request, hold func(int64) bool, meter *transfer.Meter) (Answer, error) {
+func (c *Caller) send(r *http.Request, call *Call, t *transfer.Transfer) (Answer, error) {
 	resp, err := c.http.Do(r)
 	if err != nil {
 		return Answer{}, err
 	}
 	defer func() { _ = resp.Body.Close() }() // The body was read or the call failed.
-	if hold != nil && resp.StatusCode == http.StatusOK && resp.ContentLength >= 0 && !hold(resp.ContentLength) {
+	most := call.Most
+	if most == 0 {
+		most = maxAnswerBytes
+	}
+	if resp.ContentLength > most {
+		return Answer{}, ErrTooLarge
+	}
+	if call.Hold != nil && resp.StatusCode == http.StatusOK && resp.ContentLength >= 0 && !call.Hold(resp.ContentLength) {
 		return Answer{}, ErrGivenUp
 	}
-	body, err := io.ReadAll(io.LimitReader(meter.Reader(resp.Body), maxAnswerBytes+1))
-	if err == nil && len(body) > maxAnswerBytes {
-		err = eris.Errorf("the answer has more than %d bytes", maxAnswerBytes)
+	body, err := io.ReadAll(io.LimitReader(t.Reader(resp.Body), most+1))
+	if err == nil && int64(len(body)) > most {
+		err = ErrTooLarge
 	}
 	return Answer{Status: resp.StatusCode, Header: resp.Header, Body: body}, err
 }
--- a/internal/version/platform/client.go
+++ b/internal/version/platform/client.go
@@ -64,20 +64,18 @@
 
 // Get reads an object. It returns ErrNotFound if there is none.
 func (c *Client) Get(ctx context.Context, key string) (Object, error) {
-	return c.read(ctx, objectPath(key), nil)
+	return c.read(ctx, objects.Call{Path: objectPath(key)})
 }
 
 // Watch waits for a version of the object after the given one and returns it.
 // If none came within wait, it returns an object of the given version without a
 // body. The connection may have gone silent, so the wait is bounded here too.
 func (c *Client) Watch(ctx context.Context, key string, after ObjectVersion, wait time.Duration) (Object, error) {
-	ctx, cancel := context.WithTimeout(ctx, wait+wait/2)
-	defer cancel()
 	q := url.Values{
 		"after": {strconv.FormatUint(uint64(after), 10)},
 		"wait":  {wait.String()},
 	}
-	o, err := c.read(ctx, objectPath(key), q)
+	o, err := c.read(ctx, objects.Call{Path: objectPath(key), Query: q, Timeout: wait + wait/2})
 	if eris.Is(err, errNotModified) {
 		return Object{Version: after}, nil
 	}
@@ -112,7 +110,7 @@
 
 // Hosts reads the list of hosts.
 func (c *Client) Hosts(ctx context.Context) ([]Host, error) {
-	o, err := c.read(ctx, HostsPath, nil)
+	o, err := c.read(ctx, objects.Call{Path: HostsPath})
 	if err != nil {
 		return nil, err
 	}
@@ -122,8 +120,9 @@
 
 var errNotModified = eris.New("platform: not modified")
 
-func (c *Client) read(ctx context.Context, path string, q url.Values) (Object, error) {
-	a, err := c.calls.Do(ctx, objects.Call{Method: http.MethodGet, Path: path, Query: q})
+func (c *Client) read(ctx context.Context, call objects.Call) (Object, error) {
+	call.Method = http.MethodGet
+	a, err := c.calls.Do(ctx, call)
 	if err != nil {
 		return Object{}, err
 	}
