objects, platform: a watch that would bring more than a list of the kind is given up for one

Cause, found by reading for the same class: a watch tells each version of a bundle. After an outage in which a bundle of 660 KB was changed ten times its answer is over 4 MB, which was refused, and the same watch was asked for again until the store forgot that history, 20 s.

--- a/internal/process/carrier/follower.go
+++ b/internal/process/carrier/follower.go
@@ -71,6 +71,9 @@
 		case eris.Is(err, objects.ErrHistoryGone):
 			klog.InfoS("Store dropped its history", "Kind", f.name, "AsOf", asOf)
 			asOf, f.listing, f.fresh = 0, nil, true
+		case asOf != 0 && eris.Is(err, objects.ErrTooLarge):
+			klog.InfoS("Store has too many changes to watch, they are listed", "Kind", f.name, "AsOf", asOf)
+			asOf, f.listing, f.fresh = 0, nil, true
 		default:
 			f.fails(err)
 			sleep(ctx, peer.RetryPause(f.c.members.view.Load().ReaderRank(), failures, rand.Float64()))
