bundle, peer, carrier: daemons tell each other what changed of a bundle, packed once; who takes over watches on

Change: an Update leads from a member's version to the one in force, by services and routes that differ; its digest says whether it did, and if not the whole is asked for. The last versions are remembered as updates, at most as many as the bundle has routes. News and catalogs say up to which revision no newer bundle is known, and the feed of bundles goes on from there, as that of upstreams did.

--- a/internal/connection/peer/codec.go
+++ b/internal/connection/peer/codec.go
@@ -17,9 +17,9 @@
 	DomainMembership Domain = "fescueshed membership 1\n"
 	// DomainNumberedMembership is that of membership messages with numbers.
 	DomainNumberedMembership Domain = "fescueshed membership 2\n"
-	DomainNews               Domain = "fescueshed news 3\n"
+	DomainNews               Domain = "fescueshed news 4\n"
 	DomainReport             Domain = "fescueshed report 3\n"
-	DomainCatalog            Domain = "fescueshed catalog 2\n"
+	DomainCatalog            Domain = "fescueshed catalog 3\n"
 )
 
 // checked is a pointer to a wire type that checks itself when decoded.
@@ -67,14 +67,20 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "peer")
 	}
+	dec, err := decMode()
+	c := &Codec[T, P]{domain: d, enc: enc, dec: dec}
+	c.SetKeys(Keys{Seal: secret})
+	return c, err
+}
+
+// decMode bounds what is decoded before it is allocated.
+func decMode() (cbor.DecMode, error) {
 	dec, err := cbor.DecOptions{
 		MaxArrayElements: maxElements,
 		MaxMapPairs:      maxMapPairs,
 		MaxNestedLevels:  maxNestedLevel,
 	}.DecMode()
-	c := &Codec[T, P]{domain: d, enc: enc, dec: dec}
-	c.SetKeys(Keys{Seal: secret})
-	return c, eris.Wrap(err, "peer")
+	return dec, eris.Wrap(err, "peer")
 }
 
 // SetKeys replaces the secrets. Messages that are under way are read if their secret is still
--- a/internal/connection/peer/news.go
+++ b/internal/connection/peer/news.go
@@ -24,9 +24,11 @@
 	// AsOf and Digest identify the sender's registrations, see registry.Catalog.
 	AsOf   objects.Revision
 	Digest uint64
-	// Bundle is the version that the sender has in force.
-	Bundle  bundle.Version
-	Changes []registry.Change
+	// Bundle is the version that the sender has in force, BundleAsOf the revision up to which the
+	// store is known to have no newer one.
+	Bundle     bundle.Version
+	BundleAsOf objects.Revision
+	Changes    []registry.Change
 }
 
 // Limits of a News and a Report, so that each fits one datagram.
@@ -143,12 +145,14 @@
 	// the store last confirmed it.
 	Known bool
 	Age   time.Duration
-	// Bundle is nil if the asker has this version or a newer one.
-	Bundle  *bundle.Bundle
-	Version bundle.Version
-	AsOf    objects.Revision
-	Digest  uint64
-	Doubt   time.Duration
+	// Version is the bundle that the sender has in force, BundleAsOf as that of News. Update leads
+	// there from what the asker has; it is empty if that is this version or a newer one.
+	Version    bundle.Version
+	BundleAsOf objects.Revision
+	Update     PackedUpdate
+	AsOf       objects.Revision
+	Digest     uint64
+	Doubt      time.Duration
 	// Listed says that Registrations is the list as of AsOf. Changed says that Changes
 	// lead there from what the asker knows. Neither is sent to one that knows as much.
 	Listed        bool
@@ -187,10 +191,7 @@
 			return err
 		}
 	}
-	if c.Bundle == nil {
-		return nil
-	}
-	return c.Bundle.Check()
+	return nil
 }
 
 // MethodCatalog asks for the Catalog, sealed by its Codec.
--- /dev/null
+++ b/internal/process/carrier/bundle.go
@@ -0,0 +1,137 @@
+package carrier
+
+import (
+	"time"
+
+	"github.com/rotisserie/eris"
+	"k8s.io/klog/v2"
+
+	"github.com/fescueshed/fescueshed/internal/version/bundle"
+	"github.com/fescueshed/fescueshed/internal/version/objects"
+)
+
+// knownBundle returns the revision from which the store's bundles are to be watched, zero if they
+// must be listed. A daemon that takes over from one that died holds the bundle already: on a thin
+// link a list of it takes longer than the take-over may.
+func (c *Carrier) knownBundle() objects.Revision {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.engine.Ready() {
+		return 0
+	}
+	return c.bundleAsOf
+}
+
+func (c *Carrier) listBundles(s objects.Snapshot[bundle.Accepted], now time.Time) {
+	for i := range s.Objects {
+		if s.Objects[i].Err == nil {
+			c.takeStored(&s.Objects[i])
+		}
+	}
+	c.confirmBundle(now, s.AsOf)
+}
+
+func (c *Carrier) changeBundles(ch objects.Changes[bundle.Accepted], now time.Time) {
+	for i := range ch.List {
+		if !ch.List[i].Deleted && ch.List[i].Object.Err == nil {
+			c.takeStored(&ch.List[i].Object)
+		}
+	}
+	c.confirmBundle(now, ch.AsOf)
+}
+
+func (c *Carrier) takeStored(o *objects.Object[bundle.Accepted]) {
+	c.takeBundle(o.Value.Version, bundleSource{source: "Store", name: o.Name}, func(now bundle.Accepted) (bundle.Accepted, *bundle.Update, error) {
+		if now.Bundle == nil {
+			return o.Value, nil, nil
+		}
+		return o.Value, bundle.Diff(now, o.Value), nil
+	})
+}
+
+// takeUpdate takes a bundle that another daemon told by what leads there.
+func (c *Carrier) takeUpdate(u *bundle.Update, from bundleSource) {
+	c.takeBundle(u.To, from, func(now bundle.Accepted) (bundle.Accepted, *bundle.Update, error) {
+		a, err := u.Apply(now)
+		if err == nil && u.From == 0 && now.Bundle != nil {
+			return a, bundle.Diff(now, a), nil
+		}
+		return a, u, err
+	})
+}
+
+// bundleSource says where a bundle came from, for the log.
+type bundleSource struct {
+	source, name string
+	age          time.Duration
+}
+
+// takeBundle puts a bundle in force if it is newer than the present one. next makes it from that one,
+// with what leads from there, nil if there was none.
+func (c *Carrier) takeBundle(
+	v bundle.Version, from bundleSource, next func(now bundle.Accepted) (bundle.Accepted, *bundle.Update, error),
+) {
+	routes, changed := 0, 0
+	taken, err := c.inForce.Take(v, func() error {
+		a, step, err := next(c.bundleInForce())
+		if err != nil {
+			return err
+		}
+		routing := bundle.NewRouting(a.Version, a.Bundle, nil)
+		c.mu.Lock()
+		c.history.Add(a, step)
+		c.lacksWholeBundle = false
+		resets := c.engine.SetRouting(routing, time.Now())
+		c.noteReady()
+		c.mu.Unlock()
+		c.data.resets(resets)
+		routes = len(a.Bundle.Routes)
+		if step != nil {
+			changed = step.Size()
+		}
+		return nil
+	})
+	if err != nil {
+		c.refuseBundle(v, from, err)
+		return
+	}
+	if taken {
+		klog.InfoS("Bundle in force", "Version", v, "Source", from.source, "Name", from.name, "Age", from.age,
+			"Routes", routes, "Changed", changed)
+	}
+}
+
+// refuseBundle notes that a bundle can't be taken. If that is since changes don't lead to it, the
+// whole is asked for next.
+func (c *Carrier) refuseBundle(v bundle.Version, from bundleSource, err error) {
+	klog.ErrorS(err, "Bundle refused", "Version", v, "Source", from.source, "Name", from.name)
+	if eris.Is(err, bundle.ErrNotLedOn) {
+		c.mu.Lock()
+		c.lacksWholeBundle = true
+		c.mu.Unlock()
+	}
+}
+
+// bundleInForce returns the bundle in force, the zero value if there is none.
+func (c *Carrier) bundleInForce() bundle.Accepted {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.history.Now()
+}
+
+// confirmBundle notes that this daemon itself has read which bundle is the newest, as of a revision.
+func (c *Carrier) confirmBundle(at time.Time, asOf objects.Revision) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.confirmBundleAt(at, asOf)
+	c.readHere()
+}
+
+// confirmBundleAt notes as of when, and as of which revision, the bundle in force is the newest.
+// c.mu is held.
+func (c *Carrier) confirmBundleAt(at time.Time, asOf objects.Revision) {
+	if at.After(c.confirmedBundle) {
+		c.confirmedBundle = at
+	}
+	c.bundleAsOf = max(c.bundleAsOf, asOf)
+}
--- a/internal/process/carrier/carrier.go
+++ b/internal/process/carrier/carrier.go
@@ -76,7 +76,12 @@
 	engine  *cookie.Engine
 	catalog *registry.Catalog
 	reading peer.Reading
-	current *bundle.Bundle
+	// history holds the bundle in force and what led to it, bundleAsOf is the revision up to which
+	// the store is known to have no newer one. lacksWholeBundle is set if what another daemon told
+	// didn't lead to its bundle.
+	history          bundle.History
+	bundleAsOf       objects.Revision
+	lacksWholeBundle bool
 	// origin is the daemon whose news were heard last, passed the last news that this
 	// daemon passed on.
 	origin peer.ID
--- a/internal/process/carrier/members.go
+++ b/internal/process/carrier/members.go
@@ -15,7 +15,6 @@
 	"github.com/fescueshed/fescueshed/internal/connection/peer"
 	"github.com/fescueshed/fescueshed/internal/process/logs"
 	"github.com/fescueshed/fescueshed/internal/process/udpport"
-	"github.com/fescueshed/fescueshed/internal/version/bundle"
 	"github.com/fescueshed/fescueshed/internal/version/transfer"
 )
 
@@ -66,6 +65,7 @@
 	// pulls counts what was fetched from other daemons. pullLines bounds the lines about fetches
 	// that failed.
 	pulls     transfer.Counts
+	packer    peer.Packer
 	pullLines *logs.Limiter
 }
 
@@ -356,11 +356,3 @@
 func (m *members) left() {
 	m.do(func(g *peer.Membership) []peer.Envelope { return g.Left(time.Now()) })
 }
-
-// bundleInForce returns the bundle in force and its version.
-func (c *Carrier) bundleInForce() (*bundle.Bundle, bundle.Version) {
-	v := c.inForce.Version()
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.current, v
-}
--- a/internal/process/carrier/news.go
+++ b/internal/process/carrier/news.go
@@ -13,6 +13,7 @@
 
 	"github.com/fescueshed/fescueshed/internal/connection/cookie"
 	"github.com/fescueshed/fescueshed/internal/connection/peer"
+	"github.com/fescueshed/fescueshed/internal/version/bundle"
 	"github.com/fescueshed/fescueshed/internal/version/transfer"
 )
 
@@ -92,12 +93,13 @@
 		return
 	}
 	n := &peer.News{
-		From:    origin,
-		Age:     now.Sub(as),
-		Doubt:   c.catalog.Doubt(now),
-		AsOf:    c.catalog.AsOf,
-		Digest:  c.catalog.Digest(),
-		Changes: c.catalog.Recent(now.Add(-newsSpan), peer.MaxNewsChanges),
+		From:       origin,
+		Age:        now.Sub(as),
+		Doubt:      c.catalog.Doubt(now),
+		BundleAsOf: c.bundleAsOf,
+		AsOf:       c.catalog.AsOf,
+		Digest:     c.catalog.Digest(),
+		Changes:    c.catalog.Recent(now.Add(-newsSpan), peer.MaxNewsChanges),
 	}
 	c.mu.Unlock()
 	// Read after the age, so that a version isn't called newer than it is known to be.
@@ -129,7 +131,7 @@
 	}
 	if !lacksList && !lacksBundle {
 		c.reading.Heard(as, v.ReadsBefore(n.From))
-		c.confirmBundleAt(as)
+		c.confirmBundleAt(as, n.BundleAsOf)
 	}
 	c.mu.Unlock()
 	c.data.resets(resets)
@@ -178,8 +180,10 @@
 	c := m.c
 	c.mu.Lock()
 	params := peer.CatalogParams{AsOf: c.catalog.AsOf, Digest: c.catalog.Digest(), Whole: c.lacksWhole}
+	if !c.lacksWholeBundle {
+		params.Version = c.history.Now().Version
+	}
 	c.mu.Unlock()
-	params.Version = c.inForce.Version()
 	params.Joining = sent.Sub(c.started) < JoinedAfter
 	if !c.start.ready.happened() {
 		params.Zone = c.cfg.Load().Zone
@@ -196,8 +200,12 @@
 		g.Learn(now, got.Members)
 		return nil
 	})
-	if got.Bundle != nil {
-		c.takeBundle(got.Version, got.Bundle, "Peer", from.String(), got.Age)
+	if len(got.Update) > 0 {
+		u, err := got.Update.Unpack()
+		if err != nil {
+			return err
+		}
+		c.takeUpdate(u, bundleSource{source: "Peer", name: from.String(), age: got.Age})
 	}
 	c.data.resets(c.takeCatalog(got, sent.Add(-got.Age), now))
 	m.tellNews(now)
@@ -245,7 +253,7 @@
 	defer c.mu.Unlock()
 	c.engine.LearnGone(got.Gone, now)
 	if got.Known && got.Version <= version {
-		c.confirmBundleAt(as)
+		c.confirmBundleAt(as, got.BundleAsOf)
 	}
 	if got.AsOf < c.catalog.AsOf || !got.Listed && !got.Changed {
 		return nil
@@ -292,10 +300,16 @@
 			return nil, &jsonrpc2.Error{Code: codeBusy, Message: "others are told already"}
 		}
 	}
-	out := m.c.tell(params)
+	out, update := m.c.tell(params)
 	if params.Joining {
 		out.Members = m.toldMembers(&params)
 	}
+	if update != nil {
+		var err error
+		if out.Update, err = m.packer.Pack(update); err != nil {
+			return nil, err
+		}
+	}
 	sealed, err := m.catalog.Encode(out)
 	return sealed, eris.Wrap(err, "catalog")
 }
@@ -313,16 +327,18 @@
 	return nil
 }
 
-// tell returns what this daemon knows and the asker doesn't.
-func (c *Carrier) tell(params peer.CatalogParams) *peer.Catalog {
-	b, version := c.bundleInForce()
-	out := &peer.Catalog{Version: version}
-	if version > params.Version {
-		out.Bundle = b
-	}
+// tell returns what this daemon knows and the asker doesn't, and what leads to the bundle in force
+// from the asker's, nil if it has that. The latter is yet to be packed: that takes too long for
+// packets to wait.
+func (c *Carrier) tell(params peer.CatalogParams) (*peer.Catalog, *bundle.Update) {
 	now := time.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	out := &peer.Catalog{Version: c.history.Now().Version, BundleAsOf: c.bundleAsOf}
+	var update *bundle.Update
+	if out.Version > params.Version {
+		update = c.history.Since(params.Version)
+	}
 	if params.Joining {
 		out.Gone = c.engine.Gone()
 	}
@@ -330,7 +346,7 @@
 	out.Doubt = c.catalog.Doubt(now)
 	known := c.confirmed()
 	if known.IsZero() {
-		return out
+		return out, update
 	}
 	out.Known, out.Age = true, now.Sub(known)
 	if params.Joining {
@@ -338,7 +354,7 @@
 		out.Changed = len(out.Changes) > 0
 	}
 	if params.AsOf == out.AsOf && params.Digest == c.catalog.Digest() || params.AsOf > out.AsOf {
-		return out
+		return out, update
 	}
 	out.Changed = false
 	if !params.Whole {
@@ -349,5 +365,5 @@
 		out.Listed = true
 		out.Registrations = c.catalog.List()
 	}
-	return out
+	return out, update
 }
--- a/internal/process/carrier/store.go
+++ b/internal/process/carrier/store.go
@@ -20,7 +20,7 @@
 	var wg sync.WaitGroup
 	bundles := &follower[bundle.Accepted]{
 		c: c, feed: c.platform.Bundles, name: "Bundles", list: c.listBundles, changes: c.changeBundles,
-		lines: logs.NewLimiter(unusableLines),
+		known: c.knownBundle, lines: logs.NewLimiter(unusableLines),
 	}
 	registrations := &follower[registry.Registration]{
 		c: c, feed: c.platform.Registrations, name: "Registrations", long: true,
@@ -61,49 +61,6 @@
 	return c.reading.Reads(c.start.ReaderRank(rank, now), now)
 }
 
-func (c *Carrier) listBundles(s objects.Snapshot[bundle.Accepted], now time.Time) {
-	for i := range s.Objects {
-		if s.Objects[i].Err == nil {
-			c.takeStored(&s.Objects[i])
-		}
-	}
-	c.confirmBundle(now)
-}
-
-func (c *Carrier) changeBundles(ch objects.Changes[bundle.Accepted], now time.Time) {
-	for i := range ch.List {
-		if !ch.List[i].Deleted && ch.List[i].Object.Err == nil {
-			c.takeStored(&ch.List[i].Object)
-		}
-	}
-	c.confirmBundle(now)
-}
-
-func (c *Carrier) takeStored(o *objects.Object[bundle.Accepted]) {
-	c.takeBundle(o.Value.Version, o.Value.Bundle, "Store", o.Name, 0)
-}
-
-// takeBundle puts a bundle in force if it is newer than the present one.
-func (c *Carrier) takeBundle(v bundle.Version, b *bundle.Bundle, source, name string, age time.Duration) {
-	taken, err := c.inForce.Take(v, func() error {
-		routing := bundle.NewRouting(v, b, nil)
-		c.mu.Lock()
-		c.current = b
-		resets := c.engine.SetRouting(routing, time.Now())
-		c.noteReady()
-		c.mu.Unlock()
-		c.data.resets(resets)
-		return nil
-	})
-	if err != nil {
-		klog.ErrorS(err, "Bundle refused", "Version", v, "Source", source, "Name", name)
-		return
-	}
-	if taken {
-		klog.InfoS("Bundle in force", "Version", v, "Source", source, "Name", name, "Age", age, "Routes", len(b.Routes))
-	}
-}
-
 func (c *Carrier) listUpstreams(s objects.Snapshot[registry.Registration], now time.Time) {
 	list := make([]registry.Registration, 0, len(s.Objects))
 	for i := range s.Objects {
@@ -237,17 +194,3 @@
 	c.engine.Confirm(at)
 	c.noteReady()
 }
-
-func (c *Carrier) confirmBundle(at time.Time) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.confirmBundleAt(at)
-	c.readHere()
-}
-
-// confirmBundleAt notes as of when the bundle in force is the newest. c.mu is held.
-func (c *Carrier) confirmBundleAt(at time.Time) {
-	if at.After(c.confirmedBundle) {
-		c.confirmedBundle = at
-	}
-}
--- /dev/null
+++ b/internal/version/bundle/update.go
@@ -0,0 +1,204 @@
+package bundle
+
+import (
+	"encoding/binary"
+	"encoding/json"
+	"net/netip"
+	"reflect"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/rotisserie/eris"
+)
+
+// Update leads from one version of a bundle to a later one. It holds what differs: a change of one
+// of 4,000 routes takes 200 bytes, where the whole bundle takes 500 KB.
+type Update struct {
+	// From is the version that it leads on from, zero if it holds a whole bundle.
+	From, To Version
+	// Digest is that of the bundle that it leads to.
+	Digest uint64
+	// Services and Routes are those that are new or changed, Operators all, if they changed.
+	Services  []Service
+	Routes    []Route
+	Operators []Operator
+	// GoneServices and GoneRoutes are those that are no longer there.
+	GoneServices []string
+	GoneRoutes   []netip.AddrPort
+}
+
+// ErrNotLedOn is returned for an update that doesn't lead on from the bundle at hand, or not to the
+// bundle that its maker has.
+var ErrNotLedOn = eris.New("bundle: the update doesn't lead on from this bundle")
+
+// Whole returns the update that holds all of a bundle.
+func Whole(a Accepted) *Update {
+	return &Update{
+		To: a.Version, Digest: a.Bundle.Digest(),
+		Services: a.Bundle.Services, Routes: a.Bundle.Routes, Operators: a.Bundle.Operators,
+	}
+}
+
+// Diff returns the update from one bundle to another.
+func Diff(from, to Accepted) *Update {
+	u := &Update{From: from.Version, To: to.Version, Digest: to.Bundle.Digest()}
+	u.Services, u.GoneServices = diff(from.Bundle.Services, to.Bundle.Services, (*Service).key, (*Service).equal)
+	u.Routes, u.GoneRoutes = diff(from.Bundle.Routes, to.Bundle.Routes, (*Route).key, (*Route).equal)
+	if !reflect.DeepEqual(from.Bundle.Operators, to.Bundle.Operators) {
+		u.Operators = to.Bundle.Operators
+	}
+	return u
+}
+
+// Apply returns the bundle that the update leads to. It shares what didn't change with the one at
+// hand, which stays as it is.
+func (u *Update) Apply(at Accepted) (Accepted, error) {
+	b := &Bundle{Services: u.Services, Routes: u.Routes, Operators: u.Operators}
+	if u.From != 0 {
+		if u.From != at.Version || at.Bundle == nil {
+			return Accepted{}, eris.Wrapf(ErrNotLedOn, "from version %d, not %d", u.From, at.Version)
+		}
+		b.Services = patch(at.Bundle.Services, u.Services, u.GoneServices, (*Service).key)
+		b.Routes = patch(at.Bundle.Routes, u.Routes, u.GoneRoutes, (*Route).key)
+		if u.Operators == nil {
+			b.Operators = at.Bundle.Operators
+		}
+	}
+	if b.Digest() != u.Digest {
+		return Accepted{}, eris.Wrapf(ErrNotLedOn, "not to the version %d that was told", u.To)
+	}
+	return Accepted{Version: u.To, Bundle: b}, b.Check()
+}
+
+// Then returns the update that does what u does and then next.
+func (u *Update) Then(next *Update) *Update {
+	out := &Update{From: u.From, To: next.To, Digest: next.Digest, Operators: next.Operators}
+	out.Services, out.GoneServices = follow(u.Services, u.GoneServices, next.Services, next.GoneServices, (*Service).key)
+	out.Routes, out.GoneRoutes = follow(u.Routes, u.GoneRoutes, next.Routes, next.GoneRoutes, (*Route).key)
+	if out.Operators == nil {
+		out.Operators = u.Operators
+	}
+	return out
+}
+
+// Size is how many services and routes the update holds or takes away.
+func (u *Update) Size() int {
+	return len(u.Services) + len(u.Routes) + len(u.GoneServices) + len(u.GoneRoutes)
+}
+
+// diff returns the items that are new or changed, and the keys of those that are gone.
+func diff[T any, K comparable](from, to []T, key func(*T) K, equal func(a, b *T) bool) (changed []T, gone []K) {
+	before := make(map[K]*T, len(from))
+	for i := range from {
+		before[key(&from[i])] = &from[i]
+	}
+	for i := range to {
+		k := key(&to[i])
+		if old := before[k]; old == nil || !equal(old, &to[i]) {
+			changed = append(changed, to[i])
+		}
+		delete(before, k)
+	}
+	for i := range from {
+		if k := key(&from[i]); before[k] != nil {
+			gone = append(gone, k)
+		}
+	}
+	return changed, gone
+}
+
+// patch returns items with some replaced or added and some taken away.
+func patch[T any, K comparable](items, changed []T, gone []K, key func(*T) K) []T {
+	if len(changed) == 0 && len(gone) == 0 {
+		return items
+	}
+	drop := make(map[K]struct{}, len(changed)+len(gone))
+	for _, k := range gone {
+		drop[k] = struct{}{}
+	}
+	for i := range changed {
+		drop[key(&changed[i])] = struct{}{}
+	}
+	out := make([]T, 0, len(items)+len(changed))
+	for i := range items {
+		if _, ok := drop[key(&items[i])]; !ok {
+			out = append(out, items[i])
+		}
+	}
+	return append(out, changed...)
+}
+
+// follow joins two changes of a list into one.
+func follow[T any, K comparable](changed []T, gone []K, nextChanged []T, nextGone []K, key func(*T) K) ([]T, []K) {
+	again := make(map[K]struct{}, len(nextChanged))
+	for i := range nextChanged {
+		again[key(&nextChanged[i])] = struct{}{}
+	}
+	var stillGone []K
+	for _, k := range gone {
+		if _, ok := again[k]; !ok {
+			stillGone = append(stillGone, k)
+		}
+	}
+	return patch(changed, nextChanged, nextGone, key), append(stillGone, nextGone...)
+}
+
+func (s *Service) key() string { return s.Name }
+
+func (s *Service) equal(o *Service) bool { return reflect.DeepEqual(s, o) }
+
+func (r *Route) key() netip.AddrPort { return r.Address }
+
+func (r *Route) equal(o *Route) bool {
+	return r.Name == o.Name && r.Address == o.Address && r.Idempotent == o.Idempotent && r.Deadline == o.Deadline &&
+		r.Objective == o.Objective && r.Priority == o.Priority && slices.Equal(r.Targets, o.Targets)
+}
+
+// Digest tells bundles apart by their content, in whatever order that stands.
+func (b *Bundle) Digest() uint64 {
+	var sum uint64
+	var buf []byte
+	for i := range b.Routes {
+		buf = b.Routes[i].appendTo(buf[:0])
+		sum += xxhash.Sum64(buf)
+	}
+	for i := range b.Services {
+		sum += digestOf(&b.Services[i])
+	}
+	for i := range b.Operators {
+		sum += digestOf(&b.Operators[i])
+	}
+	return sum
+}
+
+// digestOf is for what a bundle has few of: it takes a hundred times what a route's takes.
+func digestOf(v any) uint64 {
+	src, err := json.Marshal(v)
+	if err != nil {
+		panic(err) // Services and operators always encode.
+	}
+	return xxhash.Sum64(src)
+}
+
+// appendTo appends all that a route says. No two routes give the same bytes.
+func (r *Route) appendTo(b []byte) []byte {
+	text := func(s string) {
+		b = binary.AppendUvarint(b, uint64(len(s)))
+		b = append(b, s...)
+	}
+	text(r.Name)
+	text(r.Address.String())
+	idempotent := byte(0)
+	if r.Idempotent {
+		idempotent = 1
+	}
+	b = append(b, idempotent)
+	for _, n := range []int64{int64(r.Deadline), int64(r.Objective), int64(r.Priority)} {
+		b = binary.AppendVarint(b, n)
+	}
+	for _, t := range r.Targets {
+		text(t.Service)
+		b = binary.AppendVarint(b, int64(t.Weight))
+	}
+	return b
+}
--- /dev/null
+++ b/internal/version/bundle/update_test.go
@@ -0,0 +1,123 @@
+package bundle_test
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/fescueshed/fescueshed/internal/version/bundle"
+)
+
+// accepted makes a bundle of routes to one of two services, by their numbers.
+func accepted(v bundle.Version, routes map[int]int) bundle.Accepted {
+	b := &bundle.Bundle{}
+	for i := range 2 {
+		b.Services = append(b.Services, bundle.Service{
+			Name: fmt.Sprint("service-", i), Registered: true, Connections: 10, IdleTimeout: bundle.Duration(time.Second),
+		})
+	}
+	for i, service := range routes {
+		b.Routes = append(b.Routes, bundle.Route{
+			Name:    fmt.Sprint("route-", i),
+			Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{198, 18, byte(i >> 8), byte(i)}), 443),
+			Targets: []bundle.Target{{Service: fmt.Sprint("service-", service), Weight: 1}},
+		})
+	}
+	if err := b.Check(); err != nil {
+		panic(err) // All that tests make is good.
+	}
+	return bundle.Accepted{Version: v, Bundle: b}
+}
+
+// Whatever versions a member missed, what it is told leads it to exactly the bundle in force: a route
+// that stays though it was dropped, or is missing though it was added, is one that callers meet.
+func TestHistoryLeadsEveryoneToTheBundleInForce(t *testing.T) {
+	routesOf := rapid.MapOfN(rapid.IntRange(0, 30), rapid.IntRange(0, 1), 0, 20)
+	rapid.Check(t, func(t *rapid.T) {
+		g := NewWithT(t)
+		var h bundle.History
+		var versions []bundle.Accepted
+		for i := range rapid.IntRange(1, 14).Draw(t, "versions") {
+			a := accepted(bundle.Version(2*i+1), routesOf.Draw(t, "routes"))
+			var step *bundle.Update
+			if i > 0 {
+				step = bundle.Diff(versions[i-1], a)
+			}
+			h.Add(a, step)
+			versions = append(versions, a)
+		}
+		for _, old := range append(versions[:len(versions)-1:len(versions)-1], bundle.Accepted{}) {
+			got, err := h.Since(old.Version).Apply(old)
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(got.Version).To(Equal(h.Now().Version))
+			g.Expect(got.Bundle.Routes).To(ConsistOf(h.Now().Bundle.Routes))
+			g.Expect(got.Bundle.Services).To(ConsistOf(h.Now().Bundle.Services))
+		}
+	})
+}
+
+func TestHistoryTellsLittleOfASmallChange(t *testing.T) {
+	g := NewWithT(t)
+	routes := make(map[int]int)
+	for i := range 1000 {
+		routes[i] = 0
+	}
+	var h bundle.History
+	first := accepted(1, routes)
+	h.Add(first, nil)
+	routes[7] = 1
+	delete(routes, 8)
+	second := accepted(2, routes)
+	h.Add(second, bundle.Diff(first, second))
+	u := h.Since(1)
+	g.Expect(u.From).To(BeEquivalentTo(1))
+	g.Expect(u.Size()).To(Equal(2))
+	g.Expect(h.Since(9).From).To(BeZero(), "a version that isn't remembered is led by the whole bundle")
+}
+
+// A daemon with another bundle under the same number, as after a mistaken restore, would serve a
+// mixture of both for as long as it runs.
+func TestUpdateIsRefused(t *testing.T) {
+	first, second := accepted(1, map[int]int{1: 0}), accepted(2, map[int]int{1: 0, 2: 1})
+	for name, at := range map[string]bundle.Accepted{
+		"by another version":                    accepted(3, map[int]int{1: 0}),
+		"by another bundle under its number":    accepted(1, map[int]int{1: 1, 3: 0}),
+		"by a daemon that has no bundle at all": {},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			_, err := bundle.Diff(first, second).Apply(at)
+			g.Expect(err).To(MatchError(bundle.ErrNotLedOn))
+		})
+	}
+}
+
+// What an update shares with the bundle that it leads on from isn't changed by it: packets are decided
+// by that one meanwhile.
+func TestUpdateLeavesTheFormerBundleAsItIs(t *testing.T) {
+	g := NewWithT(t)
+	first, second := accepted(1, map[int]int{1: 0, 2: 0}), accepted(2, map[int]int{1: 1, 3: 0})
+	before := first.Bundle.Digest()
+	_, err := bundle.Diff(first, second).Apply(first)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(first.Bundle.Digest()).To(Equal(before))
+	g.Expect(first.Bundle.Routes).To(HaveLen(2))
+}
+
+func BenchmarkDiff(b *testing.B) {
+	routes := make(map[int]int)
+	for i := range 4000 {
+		routes[i] = 0
+	}
+	first := accepted(1, routes)
+	routes[7] = 1
+	second := accepted(2, routes)
+	b.ReportAllocs()
+	for b.Loop() {
+		bundle.Diff(first, second)
+	}
+}
