--- a/internal/connection/peer/rpc_test.go
+++ b/internal/connection/peer/rpc_test.go
@@ -63,7 +63,8 @@
 		t.Run(name, func(t *testing.T) {
 			g := NewWithT(t)
 			var counts transfer.Counts
-			got, _, err := peer.CallRPC[string](context.Background(), answerSlowly(t, parts, tc.stopAfter), peer.RPC{Method: "Any"}, limits, &counts)
+			to := answerSlowly(t, parts, tc.stopAfter)
+			got, _, err := peer.CallRPC[string](context.Background(), to, peer.RPC{Method: "Any"}, limits, &counts)
 			if tc.want != nil {
 				g.Expect(err).To(MatchError(tc.want))
 				g.Expect(counts.Wasted.Load()).To(Equal(counts.Bytes.Load()))
--- a/internal/process/carrier/bundle.go
+++ b/internal/process/carrier/bundle.go
@@ -41,7 +41,8 @@
 }
 
 func (c *Carrier) takeStored(o *objects.Object[bundle.Accepted]) {
-	c.takeBundle(o.Value.Version, bundleSource{source: "Store", name: o.Name}, func(now bundle.Accepted) (bundle.Accepted, *bundle.Update, error) {
+	from := bundleSource{source: "Store", name: o.Name}
+	c.takeBundle(o.Value.Version, from, func(now bundle.Accepted) (bundle.Accepted, *bundle.Update, error) {
 		if now.Bundle == nil {
 			return o.Value, nil, nil
 		}
--- a/internal/version/bundle/update_test.go
+++ b/internal/version/bundle/update_test.go
@@ -40,8 +40,9 @@
 	rapid.Check(t, func(t *rapid.T) {
 		g := NewWithT(t)
 		var h bundle.History
-		var versions []bundle.Accepted
-		for i := range rapid.IntRange(1, 14).Draw(t, "versions") {
+		n := rapid.IntRange(1, 14).Draw(t, "versions")
+		versions := make([]bundle.Accepted, 0, n)
+		for i := range n {
 			a := accepted(bundle.Version(2*i+1), routesOf.Draw(t, "routes"))
 			var step *bundle.Update
 			if i > 0 {
