--- a/internal/process/carrier/bundle.go
+++ b/internal/process/carrier/bundle.go
@@ -81,7 +81,6 @@
 		routing := bundle.NewRouting(a.Version, a.Bundle, nil)
 		c.mu.Lock()
 		c.history.Add(a, step)
-		c.lacksWholeBundle = false
 		resets := c.engine.SetRouting(routing, time.Now())
 		c.noteReady()
 		c.mu.Unlock()
@@ -96,6 +95,7 @@
 		c.refuseBundle(v, from, err)
 		return
 	}
+	c.setLacksWholeBundle(false) // What was told is in force, or something newer is.
 	if taken {
 		klog.InfoS("Bundle in force", "Version", v, "Source", from.source, "Name", from.name, "Age", from.age,
 			"Routes", routes, "Changed", changed)
@@ -103,16 +103,21 @@
 }
 
 // refuseBundle notes that a bundle can't be taken. If that is since changes don't lead to it, the
-// whole is asked for next.
+// whole is asked for next: this daemon holds another bundle under the number that they lead on from,
+// as after the store was restored from a copy, and no change would ever lead on from that.
 func (c *Carrier) refuseBundle(v bundle.Version, from bundleSource, err error) {
 	klog.ErrorS(err, "Bundle refused", "Version", v, "Source", from.source, "Name", from.name)
 	if eris.Is(err, bundle.ErrNotLedOn) {
-		c.mu.Lock()
-		c.lacksWholeBundle = true
-		c.mu.Unlock()
+		c.setLacksWholeBundle(true)
 	}
 }
 
+func (c *Carrier) setLacksWholeBundle(lacks bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.lacksWholeBundle = lacks
+}
+
 // bundleInForce returns the bundle in force, the zero value if there is none.
 func (c *Carrier) bundleInForce() bundle.Accepted {
 	c.mu.Lock()
--- a/internal/process/carrier/large_test.go
+++ b/internal/process/carrier/large_test.go
@@ -189,3 +189,25 @@
 	g.Eventually(func() int { return small.metric("fescueshed_store_calls_total") - calls }, patience).Should(BeNumerically(">=", 4))
 	g.Expect(small.metric("fescueshed_store_answers_bytes_total") - before).To(BeNumerically("<=", changeBytes))
 }
+
+// The store was restored from a copy, and operators use a version's number a second time for another
+// bundle. A daemon that holds the first is told what changed since the second, which makes a mixture of
+// both: it serves routes that nobody wrote together, or refuses each later version.
+func TestBundleUnderANumberThatIsUsedTwiceIsToldAsAWhole(t *testing.T) {
+	g := NewWithT(t)
+	w := largeWorld(t, 2)
+	w.Hosts[1].CPUShare = 0.1
+	small := largeNode(t, w, w.Hosts[1])
+	g.Eventually(small.Ready, patience).Should(BeTrue())
+	w.Hosts[1].Proxy.Set(world.LinkSilent)
+	w.Grow(5)
+	w.Rewrite()
+	w.Hosts[0].Seeds = nobody // It reads the store before it meets the other.
+	large := largeNode(t, w, w.Hosts[0])
+	g.Eventually(large.Ready, patience).Should(BeTrue())
+	g.Expect(large.Version()).To(Equal(small.Version()))
+	g.Eventually(small.Members, patience).Should(Equal(2))
+	v := w.Roll()
+	g.Eventually(large.Version, patience).Should(Equal(v))
+	g.Eventually(small.Version, patience).Should(Equal(v))
+}
--- a/internal/standin/world/world.go
+++ b/internal/standin/world/world.go
@@ -337,6 +337,21 @@
 	defer w.mu.Unlock()
 	w.version += bundle.Version(1 + w.rng.Uint64N(maxVersionStep))
 	w.lastRoute = other(w.lastRoute)
+	w.accept()
+	w.switches = append(w.switches, switched{at: time.Now(), service: w.lastRoute})
+	return w.version
+}
+
+// Rewrite accepts the version in force once more, with what Grow has added since, as a store does
+// that was restored from a copy.
+func (w *World) Rewrite() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.accept()
+}
+
+// accept writes the bundle. w.mu is held.
+func (w *World) accept() {
 	b := &bundle.Bundle{
 		Routes: []bundle.Route{
 			route("feed", feedAt, ServiceFeed), route("sheets", sheetsAt, ServiceSheets), route("switch", switchAt, w.lastRoute),
@@ -353,8 +368,6 @@
 		})
 	}
 	w.Store.Accept(w.version, b)
-	w.switches = append(w.switches, switched{at: time.Now(), service: w.lastRoute})
-	return w.version
 }
 
 // Grow adds routes that no caller uses to the next versions of the bundle.
--- a/internal/version/bundle/update_test.go
+++ b/internal/version/bundle/update_test.go
@@ -122,3 +122,22 @@
 		bundle.Diff(first, second)
 	}
 }
+
+// BenchmarkApply is what a change of one route costs a daemon, at the routes of the size to design for.
+func BenchmarkApply(b *testing.B) {
+	routes := make(map[int]int)
+	for i := range 47_000 {
+		routes[i] = 0
+	}
+	first := accepted(1, routes)
+	routes[7] = 1
+	u := bundle.Diff(first, accepted(2, routes))
+	b.ReportAllocs()
+	for b.Loop() {
+		a, err := u.Apply(first)
+		if err != nil {
+			b.Fatal(err)
+		}
+		bundle.NewRouting(a.Version, a.Bundle, nil)
+	}
+}
