--- a/cmd/soak/fault.go
+++ b/cmd/soak/fault.go
@@ -42,6 +42,8 @@
 	{name: "zone cut", weight: 2, inject: (*run).zoneCut},
 	{name: "upstream cut", weight: 2, inject: (*run).upstreamCut},
 	{name: "bundle", weight: 4, planned: true, inject: func(r *run) string { r.w.Roll(); return "next version" }},
+	{name: "bundle grows", weight: 2, planned: true, inject: (*run).grow},
+	{name: "thin link", weight: 2, planned: true, inject: (*run).thinLink},
 	{name: "drain", weight: 3, planned: true, inject: (*run).drain},
 	{name: "crash", weight: 2, inject: func(r *run) string { return r.crash(false) }},
 	{name: "crash and reuse", weight: 1, inject: func(r *run) string { return r.crash(true) }},
@@ -161,6 +163,30 @@
 	return fmt.Sprintf("an upstream hears no host for %v", d)
 }
 
+// grow makes a bundle that is large on a thin link, after some times.
+func (r *run) grow() string {
+	if r.w.Grow(grownRoutes) > maxGrown {
+		r.w.Grow(-maxGrown)
+	}
+	r.w.Roll()
+	return "next version, of another size"
+}
+
+// grownRoutes take 80 KB in the store's form. maxGrown keeps the bundle below the store's largest
+// object, a megabyte.
+const (
+	grownRoutes = 500
+	maxGrown    = 4000
+)
+
+// thinLink gives a host the thinnest link that users have, 10 Mbit/s.
+func (r *run) thinLink() string {
+	h, d := r.w.Hosts[r.host()], r.duration()
+	r.w.ThinLink(h, 10e6/8)
+	time.AfterFunc(d, func() { r.w.WideLink(h) })
+	return fmt.Sprintf("%s has a link of 10 Mbit/s for %v", h.Name, d)
+}
+
 func (r *run) drain() string {
 	if !r.w.DrainServer() {
 		return ""
--- a/internal/process/daemon/admin.go
+++ b/internal/process/daemon/admin.go
@@ -127,6 +127,8 @@
 	count("fescueshed_control_dropped_total", d.control.dropped.Load)
 	count("fescueshed_control_ports_renewed_total", d.control.ports.Renewed.Load)
 	count("fescueshed_bundles_refused_total", d.bundles.refused.Load)
+	count("fescueshed_bundle_fetches_failed_total", d.bundles.fetches.Failed.Load)
+	count("fescueshed_bundle_fetches_wasted_bytes_total", d.bundles.fetches.Wasted.Load)
 	count("fescueshed_platform_errors_total", d.bundles.platformErrors.Load)
 	s.NewGauge("fescueshed_flow_records", func() float64 { return float64(d.engine.Flows.Len()) })
 	s.NewGauge("fescueshed_requests_open", func() float64 { return float64(d.engine.Requests.Open()) })
--- a/internal/standin/world/rate.go
+++ b/internal/standin/world/rate.go
@@ -37,8 +37,12 @@
 // ThinLink lets all that a host takes in over connections, from the store and from other daemons,
 // share a link of some rate. Connections don't show which daemon opened them, so what the others
 // ask of each other shares it too.
-func (w *World) ThinLink(h *Host, perSecond BytesPerSecond) {
-	r := NewRate(perSecond)
+func (w *World) ThinLink(h *Host, perSecond BytesPerSecond) { w.share(h, NewRate(perSecond)) }
+
+// WideLink ends ThinLink.
+func (w *World) WideLink(h *Host) { w.share(h, nil) }
+
+func (w *World) share(h *Host, r *Rate) {
 	h.Proxy.SetRate(r)
 	for _, o := range w.Hosts {
 		if o != h {
--- a/internal/standin/world/world.go
+++ b/internal/standin/world/world.go
@@ -370,11 +370,13 @@
 	w.Store.Accept(w.version, b)
 }
 
-// Grow adds routes that no caller uses to the next versions of the bundle.
-func (w *World) Grow(routes int) {
+// Grow adds routes that no caller uses to the next versions of the bundle, or takes some away. It
+// returns how many there are then.
+func (w *World) Grow(routes int) int {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.idleRoutes += routes
+	return w.idleRoutes
 }
 
 func route(name string, at netip.AddrPort, service string) bundle.Route {
--- a/internal/version/transfer/transfer.go
+++ b/internal/version/transfer/transfer.go
@@ -9,9 +9,10 @@
 	"github.com/rotisserie/eris"
 )
 
-// Limits bound one transfer. A zero field is no bound.
+// Limits bound one transfer. The zero value is no bound.
 type Limits struct {
-	// Begin is how long the answer may take to begin.
+	// Begin is how long the answer may take to begin, zero if only the caller's context bounds the
+	// transfer.
 	Begin time.Duration
 	// Stall is how long nothing of it may arrive once it has begun.
 	Stall time.Duration
@@ -48,10 +49,10 @@
 	c.Begun.Add(1)
 	ctx, cancel := context.WithCancelCause(ctx)
 	t := &Transfer{counts: c, limits: l, ctx: ctx, cancel: cancel}
-	give := func() { cancel(ErrStalled) }
+	giveUp := func() { cancel(ErrStalled) }
 	if l.Begin > 0 {
-		t.stall = time.AfterFunc(l.Begin, give)
-		t.end = time.AfterFunc(l.Begin+longest, give)
+		t.stall = time.AfterFunc(l.Begin, giveUp)
+		t.end = time.AfterFunc(l.Begin+longest, giveUp)
 	}
 	return ctx, t
 }
