--- a/internal/process/carrier/store.go
+++ b/internal/process/carrier/store.go
@@ -68,15 +68,7 @@
 			list = append(list, r)
 		}
 	}
-	c.mu.Lock()
-	var resets []cookie.Reset
-	if c.catalog.Replace(list, s.AsOf, now) {
-		resets = c.follow(now)
-	}
-	c.confirmList(now)
-	c.readHere()
-	c.mu.Unlock()
-	c.data.resets(resets)
+	c.takeList(now, func() bool { return c.catalog.Replace(list, s.AsOf, now) })
 }
 
 // readHere notes that this daemon itself has read the store: it needn't again, unless nobody
@@ -167,9 +159,15 @@
 			changes = append(changes, registry.Change{Registration: r, Gone: ch.List[i].Deleted})
 		}
 	}
+	c.takeList(now, func() bool { return c.catalog.Apply(changes, ch.AsOf, now) })
+}
+
+// takeList takes in what this daemon itself has read of the list of upstreams. take changes the
+// catalog and reports whether it did.
+func (c *Carrier) takeList(now time.Time, take func() bool) {
 	c.mu.Lock()
 	var resets []cookie.Reset
-	if c.catalog.Apply(changes, ch.AsOf, now) {
+	if take() {
 		resets = c.follow(now)
 	}
 	c.confirmList(now)
--- a/internal/version/objects/caller.go
+++ b/internal/version/objects/caller.go
@@ -67,6 +67,14 @@
 
 // Limits of a call.
 const (
+	// AnswerTimeout is how long an answer may take to begin, beside the wait of a watch. The users'
+	// store answers in 4 ms, and in 240 ms when it is slow; a silent connection costs this long.
+	AnswerTimeout = 700 * time.Millisecond
+	// MaxWatchBytes bounds what a watch may bring: more than the largest object, a megabyte. A
+	// watch tells each version of an object that changed again and again, a list only the last. An
+	// operator who changes a bundle of 600 KB ten times while the store is away would keep every
+	// later version out of force, and twice would make a thin link carry it twice.
+	MaxWatchBytes = 3 << 19
 	// maxAnswerBytes bounds one answer: a page of a megabyte with its envelope.
 	maxAnswerBytes = 4 << 20
 	// idleTimeout closes connections that no call uses. A watch uses its own all
