--- a/internal/version/bundle/update_test.go
+++ b/internal/version/bundle/update_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"net/netip"
 	"testing"
 	"time"
@@ -80,6 +81,58 @@
 	g.Expect(h.Since(9).From).To(BeZero(), "a version that isn't remembered is led by the whole bundle")
 }
 
+// What is remembered grows with each version of a large bundle until the daemon's memory is gone.
+func TestHistoryRemembersNoMoreThanTheBundleHas(t *testing.T) {
+	const many = 100
+	routes := func(service int) map[int]int {
+		out := make(map[int]int)
+		for i := range many {
+			out[i] = service
+		}
+		return out
+	}
+	// small returns eleven versions, each of which changes one route.
+	small := func(routes map[int]int) []map[int]int {
+		out := make([]map[int]int, 0, 11)
+		for i := range cap(out) {
+			routes[1] = i % 2
+			out = append(out, maps.Clone(routes))
+		}
+		return out
+	}
+	for name, tc := range map[string]struct {
+		versions []map[int]int
+		// oldest is the oldest version that changes lead on from.
+		oldest bundle.Version
+	}{
+		"one change a version: the last eight":                 {versions: small(routes(0)), oldest: 3},
+		"the same, and a bundle of one route and two services": {versions: small(map[int]int{}), oldest: 8},
+		"each route changes twice":                             {versions: []map[int]int{routes(0), routes(1), routes(0)}, oldest: 2},
+		"nearly all routes go":                                 {versions: []map[int]int{routes(0), {1: 0}}, oldest: 2},
+		"half of the routes come":                              {versions: []map[int]int{{1: 0}, routes(0)}, oldest: 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			var h bundle.History
+			for i, r := range tc.versions {
+				a := accepted(bundle.Version(i+1), r)
+				var step *bundle.Update
+				if i > 0 {
+					step = bundle.Diff(h.Now(), a)
+				}
+				h.Add(a, step)
+			}
+			oldest := h.Now().Version
+			for v := oldest; v > 0; v-- {
+				if h.Since(v).From == v {
+					oldest = v
+				}
+			}
+			g.Expect(oldest).To(Equal(tc.oldest))
+		})
+	}
+}
+
 // A daemon with another bundle under the same number, as after a mistaken restore, would serve a
 // mixture of both for as long as it runs.
 func TestUpdateIsRefused(t *testing.T) {
