--- a/internal/version/bundle/update.go
+++ b/internal/version/bundle/update.go
@@ -73,8 +73,8 @@
 // Then returns the update that does what u does and then next.
 func (u *Update) Then(next *Update) *Update {
 	out := &Update{From: u.From, To: next.To, Digest: next.Digest, Operators: next.Operators}
-	out.Services, out.GoneServices = follow(u.Services, u.GoneServices, next.Services, next.GoneServices, (*Service).key)
-	out.Routes, out.GoneRoutes = follow(u.Routes, u.GoneRoutes, next.Routes, next.GoneRoutes, (*Route).key)
+	out.Services, out.GoneServices = join(u.Services, u.GoneServices, next.Services, next.GoneServices, (*Service).key)
+	out.Routes, out.GoneRoutes = join(u.Routes, u.GoneRoutes, next.Routes, next.GoneRoutes, (*Route).key)
 	if out.Operators == nil {
 		out.Operators = u.Operators
 	}
@@ -128,8 +128,8 @@
 	return append(out, changed...)
 }
 
-// follow joins two changes of a list into one.
-func follow[T any, K comparable](changed []T, gone []K, nextChanged []T, nextGone []K, key func(*T) K) ([]T, []K) {
+// join makes two changes of a list into one.
+func join[T any, K comparable](changed []T, gone []K, nextChanged []T, nextGone []K, key func(*T) K) ([]T, []K) {
 	again := make(map[K]struct{}, len(nextChanged))
 	for i := range nextChanged {
 		again[key(&nextChanged[i])] = struct{}{}
@@ -171,7 +171,7 @@
 	return sum
 }
 
-// digestOf is for what a bundle has few of: it takes a hundred times what a route's takes.
+// digestOf is for what a bundle has few of: it encodes what it is given.
 func digestOf(v any) uint64 {
 	src, err := json.Marshal(v)
 	if err != nil {
