--- a/internal/process/carrier/large_test.go
+++ b/internal/process/carrier/large_test.go
@@ -211,3 +211,17 @@
 	g.Eventually(large.Version, patience).Should(Equal(v))
 	g.Eventually(small.Version, patience).Should(Equal(v))
 }
+
+// The store takes two seconds to put the answer of a watch together, as it may for many large versions. A
+// watch is given up after its wait and 0.7 s, and the same is asked for again, which takes as long: no
+// later bundle comes into force until the store forgets that history. A list would be answered.
+func TestLargeBundleComesIntoForceThoughAWatchIsAnsweredLate(t *testing.T) {
+	g := NewWithT(t)
+	w := largeWorld(t, 1)
+	n := largeNode(t, w, w.Hosts[0])
+	g.Eventually(n.Ready, patience).Should(BeTrue())
+	g.Eventually(func() int { return n.metric("fescueshed_store_calls_total") }, patience).Should(BeNumerically(">=", 10))
+	w.Store.SetTrouble(metadata.Trouble{SlowEvents: 2 * time.Second})
+	v := w.Roll()
+	g.Eventually(n.Version, patience).Should(Equal(v))
+}
--- a/internal/standin/metadata/store.go
+++ b/internal/standin/metadata/store.go
@@ -24,6 +24,9 @@
 	Reset, Silent bool
 	// Delay holds each answer back.
 	Delay time.Duration
+	// SlowEvents holds answers of watches back that bring events, as a store does that takes long
+	// to put a large answer together.
+	SlowEvents time.Duration
 	// Deaf makes watches hear nothing.
 	Deaf bool
 	// ServeOneOf refuses all but one of so many calls for want of a rate, if it is more
@@ -61,9 +64,11 @@
 	body jsontext.Value
 }
 
+// storedEvent is an event as it goes out. It is encoded once: to encode it for each watch kept a watch of
+// seven megabytes waiting for seconds on a busy machine.
 type storedEvent struct {
 	revision uint64
-	wire.Event
+	encoded  jsontext.Value
 }
 
 // pageObjects is small, so that tests with few upstreams see several pages.
@@ -117,7 +122,7 @@
 	o := s.objects[kind][name]
 	o.body = jsontext.Value(body(o.meta.Revision))
 	s.objects[kind][name] = o
-	s.events[kind][len(s.events[kind])-1].Object = o.body
+	s.events[kind][len(s.events[kind])-1].encoded = encode(&wire.Event{Object: o.body})
 }
 
 // Content returns an object as it goes out, empty if there is none.
@@ -167,7 +172,7 @@
 }
 
 func (s *Store) note(kind string, e wire.Event) {
-	s.events[kind] = append(s.events[kind], storedEvent{revision: s.revision, Event: e})
+	s.events[kind] = append(s.events[kind], storedEvent{revision: s.revision, encoded: encode(&e)})
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
@@ -184,6 +189,7 @@
 
 // ServeHTTP implements http.Handler.
 func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.count()
 	t := s.troubleFor(r)
 	switch {
 	case t.Reset:
@@ -222,10 +228,16 @@
 	s.list(w, kind, q.Get(wire.QueryAfter), stale)
 }
 
-func (s *Store) troubleFor(r *http.Request) Trouble {
+func (s *Store) count() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.calls++
+}
+
+// troubleFor returns the trouble that a call meets.
+func (s *Store) troubleFor(r *http.Request) Trouble {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	t := s.trouble
 	if len(t.Only) == 0 {
 		return t
@@ -305,6 +317,7 @@
 			return
 		}
 		if len(p.Events) > 0 {
+			time.Sleep(s.troubleFor(r).SlowEvents)
 			answer(w, p)
 			return
 		}
@@ -333,7 +346,7 @@
 	p := &wire.Page{AsOf: s.revision}
 	for _, e := range s.events[kind] {
 		if e.revision > from {
-			p.Events = append(p.Events, encode(&e.Event))
+			p.Events = append(p.Events, e.encoded)
 		}
 	}
 	return p, false, s.changed
