objects, platform: the bounds of a call are given where the store is called

platform/ chose which call has which bound. objects.ListCall, WatchCall and ObjectCall carry them now; platform/ adds words and paths. Nothing else changed.

--- a/internal/version/objects/caller.go
+++ b/internal/version/objects/caller.go
@@ -33,6 +33,17 @@
 	Hold func(size int64) bool
 }
 
+// ObjectCall returns a call of one object, with its bounds.
+func ObjectCall() Call { return Call{Timeout: answerTimeout} }
+
+// ListCall returns the call of a page of a list, with its bounds.
+func ListCall(o *ListOptions) Call { return Call{Timeout: answerTimeout, Hold: o.Hold} }
+
+// WatchCall returns a call that waits for changes, with its bounds.
+func WatchCall(wait time.Duration) Call {
+	return Call{Timeout: wait + answerTimeout, Most: maxWatchBytes}
+}
+
 var (
 	// ErrGivenUp is returned for an answer that Hold didn't want.
 	ErrGivenUp = eris.New("objects: the answer was given up")
@@ -67,14 +78,14 @@
 
 // Limits of a call.
 const (
-	// AnswerTimeout is how long an answer may take to begin, beside the wait of a watch. The users'
+	// answerTimeout is how long an answer may take to begin, beside the wait of a watch. The users'
 	// store answers in 4 ms, and in 240 ms when it is slow; a silent connection costs this long.
-	AnswerTimeout = 700 * time.Millisecond
-	// MaxWatchBytes bounds what a watch may bring: more than the largest object, a megabyte. A
+	answerTimeout = 700 * time.Millisecond
+	// maxWatchBytes bounds what a watch may bring: more than the largest object, a megabyte. A
 	// watch tells each version of an object that changed again and again, a list only the last. An
 	// operator who changes a bundle of 600 KB ten times while the store is away would keep every
 	// later version out of force, and twice would make a thin link carry it twice.
-	MaxWatchBytes = 3 << 19
+	maxWatchBytes = 3 << 19
 	// maxAnswerBytes bounds one answer: a page of a megabyte with its envelope.
 	maxAnswerBytes = 4 << 20
 	// idleTimeout closes connections that no call uses. A watch uses its own all
