objects, carrier: a kind is listed if its watches go unanswered while the store answers other calls

Ruled out: a longer time, which only moves the size at which it happens; a list after any watch that failed, which after an outage of the store makes every daemon list what nearly all of them hold. Change: two such watches in a row, each while another call was answered, and the kind is listed. While nothing is answered, nothing is listed. Found by reading beside it: a start with stale pages asked again and again for what changed since, if that is too much for an answer; it lists fresh pages now.

--- a/internal/process/carrier/carrier.go
+++ b/internal/process/carrier/carrier.go
@@ -90,8 +90,9 @@
 	lacksWhole bool
 	// confirmedBundle and confirmedList are as of when the store's content is known.
 	confirmedBundle, confirmedList time.Time
-	// failing is when a call of the store failed last, zero if one was answered since.
-	failing time.Time
+	// failing is when a call of the store failed last, zero if one was answered since. storeAnswered is
+	// when one was answered last.
+	failing, storeAnswered time.Time
 }
 
 // New opens the sockets of a daemon and starts its parts. The clean-up function
--- a/internal/process/carrier/follower.go
+++ b/internal/process/carrier/follower.go
@@ -11,6 +11,7 @@
 	"github.com/fescueshed/fescueshed/internal/connection/peer"
 	"github.com/fescueshed/fescueshed/internal/process/logs"
 	"github.com/fescueshed/fescueshed/internal/version/objects"
+	"github.com/fescueshed/fescueshed/internal/version/transfer"
 )
 
 const (
@@ -41,6 +42,8 @@
 	// must not be a stale one.
 	listing *objects.Listing[T]
 	fresh   bool
+	// stalls counts watches that the store doesn't answer though it answers others.
+	stalls objects.Stalls
 	// starting says that the list was begun before the daemon could place flows.
 	starting bool
 	// lines bounds the lines about objects that can't be used.
@@ -60,10 +63,12 @@
 		if asOf == 0 && f.known != nil && !f.fresh {
 			asOf = f.known()
 		}
+		began := time.Now()
 		next, changed, err := f.step(ctx, asOf)
 		switch {
 		case err == nil:
 			asOf, failures = next, 0
+			f.stalls.Watched()
 			if changed {
 				f.c.members.tellNews(time.Now())
 				sleep(ctx, batchPause)
@@ -71,8 +76,8 @@
 		case eris.Is(err, objects.ErrHistoryGone):
 			klog.InfoS("Store dropped its history", "Kind", f.name, "AsOf", asOf)
 			asOf, f.listing, f.fresh = 0, nil, true
-		case asOf != 0 && eris.Is(err, objects.ErrTooLarge):
-			klog.InfoS("Store has too many changes to watch, they are listed", "Kind", f.name, "AsOf", asOf)
+		case asOf != 0 && f.listsInstead(err, began):
+			klog.InfoS("Store can't be watched, it is listed", "Kind", f.name, "AsOf", asOf, "Error", err.Error())
 			asOf, f.listing, f.fresh = 0, nil, true
 		default:
 			f.fails(err)
@@ -82,6 +87,20 @@
 	}
 }
 
+// listsInstead reports whether a watch that failed is to be given up for a list: it would bring too
+// much, or the store, which answers other calls, doesn't answer it.
+func (f *follower[T]) listsInstead(err error, began time.Time) bool {
+	if eris.Is(err, objects.ErrTooLarge) {
+		return true
+	}
+	if !eris.Is(err, transfer.ErrStalled) {
+		return false
+	}
+	f.c.mu.Lock()
+	defer f.c.mu.Unlock()
+	return f.stalls.Stalled(began, f.c.storeAnswered)
+}
+
 // step lists or watches once and takes in what that brings. A daemon that starts waits a little
 // after its list for the other kind's: once both are there, another may follow the store.
 func (f *follower[T]) step(ctx context.Context, asOf objects.Revision) (objects.Revision, bool, error) {
@@ -130,6 +149,10 @@
 	late := objects.Changes[T]{AsOf: s.AsOf}
 	if f.listing.Lacks() {
 		ch, err := f.feed.Watch(ctx, s.AsOf, 0)
+		if eris.Is(err, objects.ErrTooLarge) {
+			// What changed since the oldest page grows only. A list of fresh pages lacks nothing.
+			f.listing, f.fresh = nil, true
+		}
 		if err != nil {
 			return 0, err
 		}
@@ -210,7 +233,7 @@
 func (f *follower[T]) answered() {
 	now := time.Now()
 	f.c.mu.Lock()
-	f.c.failing = time.Time{}
+	f.c.failing, f.c.storeAnswered = time.Time{}, now
 	if last := f.c.confirmedList; !last.IsZero() && now.Sub(last) > outageAfter {
 		f.c.catalog.StoreReturned(now)
 	}
