transfer, bundle, carrier: tests of guards that had none, one needless guard goes; tests start worlds and balancers in one way

The check for no bundle in Update.Apply was doubled by its version and is gone. Limits.Longest is a field so that it can be tested. Tests of both frameworks start stand-ins and balancers by openWorld and openNode and read metrics by one function, which fails on a name that isn't there. The test of a watch that would bring too much is stricter: it counts the bytes as well.

--- a/internal/process/carrier/bundle.go
+++ b/internal/process/carrier/bundle.go
@@ -43,10 +43,7 @@
 func (c *Carrier) takeStored(o *objects.Object[bundle.Accepted]) {
 	from := bundleSource{source: "Store", name: o.Name}
 	c.takeBundle(o.Value.Version, from, func(now bundle.Accepted) (bundle.Accepted, *bundle.Update, error) {
-		if now.Bundle == nil {
-			return o.Value, nil, nil
-		}
-		return o.Value, bundle.Diff(now, o.Value), nil
+		return o.Value, stepFrom(now, o.Value), nil
 	})
 }
 
@@ -54,13 +51,22 @@
 func (c *Carrier) takeUpdate(u *bundle.Update, from bundleSource) {
 	c.takeBundle(u.To, from, func(now bundle.Accepted) (bundle.Accepted, *bundle.Update, error) {
 		a, err := u.Apply(now)
-		if err == nil && u.From == 0 && now.Bundle != nil {
-			return a, bundle.Diff(now, a), nil
+		if err != nil || u.From != 0 {
+			return a, u, err
 		}
-		return a, u, err
+		return a, stepFrom(now, a), nil
 	})
 }
 
+// stepFrom returns what leads from the bundle in force to one that came as a whole, nil if there is
+// none in force.
+func stepFrom(now, to bundle.Accepted) *bundle.Update {
+	if now.Bundle == nil {
+		return nil
+	}
+	return bundle.Diff(now, to)
+}
+
 // bundleSource says where a bundle came from, for the log.
 type bundleSource struct {
 	source, name string
--- a/internal/process/carrier/carrier_test.go
+++ b/internal/process/carrier/carrier_test.go
@@ -34,28 +34,51 @@
 	cfg  *settings.Cookie
 }
 
-func newWorld(hosts int) *world.World {
-	GinkgoHelper()
-	w, stop, err := world.New(context.Background(), world.Options{Seed: 1, Hosts: hosts, Upstreams: 12, Callers: 12})
-	Expect(err).NotTo(HaveOccurred())
-	DeferCleanup(stop)
+// scope is what a test of either framework offers.
+type scope interface {
+	Helper()
+	Fatal(args ...any)
+	Cleanup(f func())
+}
+
+// openWorld starts stand-ins that end with the test.
+func openWorld(t scope, o world.Options) *world.World {
+	t.Helper()
+	w, stop, err := world.New(context.Background(), o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(stop)
 	return w
 }
 
-func startNode(w *world.World, h *world.Host) *node {
-	GinkgoHelper()
+// openNode starts a balancer that ends with the test.
+func openNode(t scope, w *world.World, h *world.Host) *node {
+	t.Helper()
 	cfg, err := settings.DecodeCookie(h.Name, []byte(w.Settings(h)))
-	Expect(err).NotTo(HaveOccurred())
+	if err != nil {
+		t.Fatal(err)
+	}
 	store, closeStore := objects.NewCaller(cfg.Store)
+	t.Cleanup(closeStore)
 	c, stop, err := carrier.New(context.Background(), cfg, platform.Connect(store))
-	Expect(err).NotTo(HaveOccurred())
-	DeferCleanup(func() {
-		stop()
-		closeStore()
-	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(stop)
 	return &node{Carrier: c, host: h, cfg: cfg}
 }
 
+func newWorld(hosts int) *world.World {
+	GinkgoHelper()
+	return openWorld(GinkgoT(), world.Options{Seed: 1, Hosts: hosts, Upstreams: 12, Callers: 12})
+}
+
+func startNode(w *world.World, h *world.Host) *node {
+	GinkgoHelper()
+	return openNode(GinkgoT(), w, h)
+}
+
 func startAll(w *world.World) []*node {
 	GinkgoHelper()
 	nodes := make([]*node, 0, len(w.Hosts))
--- a/internal/process/carrier/keys_test.go
+++ b/internal/process/carrier/keys_test.go
@@ -1,11 +1,7 @@
 package carrier_test
 
 import (
-	"io"
 	"net"
-	"net/http"
-	"regexp"
-	"strconv"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -18,16 +14,7 @@
 // dropped returns how many messages of others a balancer dropped.
 func (n *node) dropped() int {
 	GinkgoHelper()
-	resp, err := http.Get("http://" + n.cfg.MetricsAddress.String() + "/metrics")
-	Expect(err).NotTo(HaveOccurred())
-	defer func() { _ = resp.Body.Close() }()
-	b, err := io.ReadAll(resp.Body)
-	Expect(err).NotTo(HaveOccurred())
-	m := regexp.MustCompile(`fescueshed_control_dropped_total (\d+)`).FindSubmatch(b)
-	Expect(m).NotTo(BeNil())
-	v, err := strconv.Atoi(string(m[1]))
-	Expect(err).NotTo(HaveOccurred())
-	return v
+	return n.metric(GinkgoT(), "fescueshed_control_dropped_total")
 }
 
 // sendNews sends a balancer news of one that doesn't exist.
--- a/internal/process/carrier/large_test.go
+++ b/internal/process/carrier/large_test.go
@@ -1,7 +1,6 @@
 package carrier_test
 
 import (
-	"context"
 	"fmt"
 	"io"
 	"net/http"
@@ -13,11 +12,8 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/fescueshed/fescueshed/internal/process/carrier"
-	"github.com/fescueshed/fescueshed/internal/process/settings"
 	"github.com/fescueshed/fescueshed/internal/standin/metadata"
 	"github.com/fescueshed/fescueshed/internal/standin/world"
-	"github.com/fescueshed/fescueshed/internal/version/objects"
-	"github.com/fescueshed/fescueshed/platform"
 )
 
 const (
@@ -30,25 +26,7 @@
 
 func largeWorld(t *testing.T, hosts int) *world.World {
 	t.Helper()
-	w, stop, err := world.New(context.Background(), world.Options{Seed: 1, Hosts: hosts, Upstreams: 3})
-	NewWithT(t).Expect(err).NotTo(HaveOccurred())
-	t.Cleanup(stop)
-	return w
-}
-
-func largeNode(t *testing.T, w *world.World, h *world.Host) *node {
-	t.Helper()
-	g := NewWithT(t)
-	cfg, err := settings.DecodeCookie(h.Name, []byte(w.Settings(h)))
-	g.Expect(err).NotTo(HaveOccurred())
-	store, closeStore := objects.NewCaller(cfg.Store)
-	c, stop, err := carrier.New(context.Background(), cfg, platform.Connect(store))
-	g.Expect(err).NotTo(HaveOccurred())
-	t.Cleanup(func() {
-		stop()
-		closeStore()
-	})
-	return &node{Carrier: c, host: h, cfg: cfg}
+	return openWorld(t, world.Options{Seed: 1, Hosts: hosts, Upstreams: 3})
 }
 
 // largePair starts two daemons, of which the second is small and relies on the first, and waits
@@ -57,7 +35,7 @@
 	t.Helper()
 	g := NewWithT(t)
 	w.Hosts[1].CPUShare = 0.1
-	large, small = largeNode(t, w, w.Hosts[0]), largeNode(t, w, w.Hosts[1])
+	large, small = openNode(t, w, w.Hosts[0]), openNode(t, w, w.Hosts[1])
 	for _, n := range []*node{large, small} {
 		g.Eventually(n.Ready, patience).Should(BeTrue())
 		g.Eventually(n.Members, patience).Should(Equal(2))
@@ -67,22 +45,26 @@
 	return large, small
 }
 
-// metric returns a counter of a daemon, zero if it has none of that name.
-func (n *node) metric(name string) int {
+// metric returns a counter of a daemon.
+func (n *node) metric(t scope, name string) int {
+	t.Helper()
 	resp, err := http.Get("http://" + n.cfg.MetricsAddress.String() + "/metrics")
 	if err != nil {
-		return 0
+		t.Fatal(err)
 	}
 	defer func() { _ = resp.Body.Close() }()
 	b, err := io.ReadAll(resp.Body)
 	if err != nil {
-		return 0
+		t.Fatal(err)
 	}
 	m := regexp.MustCompile(fmt.Sprintf(`(?m)^%s (\d+)`, regexp.QuoteMeta(name))).FindSubmatch(b)
 	if m == nil {
-		return 0
+		t.Fatal("no metric is named", name)
+	}
+	v, err := strconv.Atoi(string(m[1]))
+	if err != nil {
+		t.Fatal(err)
 	}
-	v, _ := strconv.Atoi(string(m[1])) // The pattern matches digits only.
 	return v
 }
 
@@ -111,7 +93,7 @@
 	w.Roll()
 	w.Hosts[0].Seeds = nobody
 	w.ThinLink(w.Hosts[0], thinLink)
-	n := largeNode(t, w, w.Hosts[0])
+	n := openNode(t, w, w.Hosts[0])
 	g.Eventually(n.Ready, patience).Should(BeTrue())
 }
 
@@ -122,11 +104,11 @@
 	w := largeWorld(t, 2)
 	w.Grow(manyRoutes)
 	v := w.Roll()
-	large := largeNode(t, w, w.Hosts[0])
+	large := openNode(t, w, w.Hosts[0])
 	g.Eventually(large.Ready, patience).Should(BeTrue())
 	w.ThinLink(w.Hosts[1], thinLink)
 	w.Hosts[1].Proxy.Set(world.LinkSilent)
-	small := largeNode(t, w, w.Hosts[1])
+	small := openNode(t, w, w.Hosts[1])
 	g.Eventually(small.Ready, patience).Should(BeTrue())
 	g.Expect(small.Version()).To(Equal(v))
 }
@@ -134,23 +116,28 @@
 // The store was away for a while, and operators went on changing a large bundle. Its watch then
 // brings every version since, which is more than an answer may have. The same watch is asked for again
 // and again, and no bundle comes into force until the store forgets that history.
+// Where it isn't too much yet, a thin link carries versions that nobody needs.
 func TestLargeBundleComesIntoForceThoughAWatchWouldBringTooMany(t *testing.T) {
 	g := NewWithT(t)
 	w := largeWorld(t, 1)
 	w.Grow(manyRoutes)
 	w.Roll()
-	n := largeNode(t, w, w.Hosts[0])
+	n := openNode(t, w, w.Hosts[0])
 	g.Eventually(n.Ready, patience).Should(BeTrue())
+	const answers = "fescueshed_store_answers_bytes_total"
+	once := n.metric(t, answers)
 	// A daemon that has just started lists, whatever it knows; by then it follows by watches.
-	g.Eventually(func() int { return n.metric("fescueshed_store_calls_total") }, patience).Should(BeNumerically(">=", 10))
+	g.Eventually(func() int { return n.metric(t, "fescueshed_store_calls_total") }, patience).Should(BeNumerically(">=", 10))
 	w.Store.SetTrouble(metadata.Trouble{Status: http.StatusServiceUnavailable})
-	g.Eventually(func() int { return n.metric("fescueshed_store_calls_refused_total") }, patience).Should(BeNumerically(">=", 2))
+	g.Eventually(func() int { return n.metric(t, "fescueshed_store_calls_refused_total") }, patience).Should(BeNumerically(">=", 2))
 	v := w.Roll()
 	for range 10 {
 		v = w.Roll()
 	}
+	before := n.metric(t, answers)
 	w.Store.SetTrouble(metadata.Trouble{})
 	g.Eventually(n.Version, patience).Should(Equal(v))
+	g.Expect(n.metric(t, answers)-before).To(BeNumerically("<=", 2*once), "a list brings the bundle once")
 }
 
 // changeBytes is what a change may cost a daemon: 3 KB a second of control traffic and 23,000 changes
@@ -165,11 +152,11 @@
 	w.Grow(manyRoutes)
 	w.Roll()
 	_, small := largePair(t, w)
-	before := small.metric("fescueshed_catalogs_bytes_total") + small.metric("fescueshed_store_answers_bytes_total")
+	before := small.metric(t, "fescueshed_catalogs_bytes_total") + small.metric(t, "fescueshed_store_answers_bytes_total")
 	g.Expect(before).To(BeNumerically(">", 0))
 	v := w.Roll()
 	g.Eventually(small.Version, patience).Should(Equal(v))
-	after := small.metric("fescueshed_catalogs_bytes_total") + small.metric("fescueshed_store_answers_bytes_total")
+	after := small.metric(t, "fescueshed_catalogs_bytes_total") + small.metric(t, "fescueshed_store_answers_bytes_total")
 	g.Expect(after - before).To(BeNumerically("<=", changeBytes))
 }
 
@@ -182,12 +169,13 @@
 	w.Grow(manyRoutes)
 	w.Roll()
 	_, small := largePair(t, w)
-	before := small.metric("fescueshed_store_answers_bytes_total")
+	before := small.metric(t, "fescueshed_store_answers_bytes_total")
 	w.Hosts[0].Proxy.Set(world.LinkSilent)
-	calls := small.metric("fescueshed_store_calls_total")
+	calls := small.metric(t, "fescueshed_store_calls_total")
 	g.Eventually(small.Reads, patience).Should(BeTrue())
-	g.Eventually(func() int { return small.metric("fescueshed_store_calls_total") - calls }, patience).Should(BeNumerically(">=", 4))
-	g.Expect(small.metric("fescueshed_store_answers_bytes_total") - before).To(BeNumerically("<=", changeBytes))
+	made := func() int { return small.metric(t, "fescueshed_store_calls_total") - calls }
+	g.Eventually(made, patience).Should(BeNumerically(">=", 4))
+	g.Expect(small.metric(t, "fescueshed_store_answers_bytes_total") - before).To(BeNumerically("<=", changeBytes))
 }
 
 // The store was restored from a copy, and operators use a version's number a second time for another
@@ -196,20 +184,29 @@
 func TestBundleUnderANumberThatIsUsedTwiceIsToldAsAWhole(t *testing.T) {
 	g := NewWithT(t)
 	w := largeWorld(t, 2)
+	w.Grow(manyRoutes)
+	w.Roll()
 	w.Hosts[1].CPUShare = 0.1
-	small := largeNode(t, w, w.Hosts[1])
+	small := openNode(t, w, w.Hosts[1])
 	g.Eventually(small.Ready, patience).Should(BeTrue())
 	w.Hosts[1].Proxy.Set(world.LinkSilent)
 	w.Grow(5)
 	w.Rewrite()
 	w.Hosts[0].Seeds = nobody // It reads the store before it meets the other.
-	large := largeNode(t, w, w.Hosts[0])
+	large := openNode(t, w, w.Hosts[0])
 	g.Eventually(large.Ready, patience).Should(BeTrue())
 	g.Expect(large.Version()).To(Equal(small.Version()))
 	g.Eventually(small.Members, patience).Should(Equal(2))
 	v := w.Roll()
 	g.Eventually(large.Version, patience).Should(Equal(v))
 	g.Eventually(small.Version, patience).Should(Equal(v))
+
+	time.Sleep(carrier.JoinedAfter)
+	before := small.metric(t, "fescueshed_catalogs_bytes_total")
+	v = w.Roll()
+	g.Eventually(small.Version, patience).Should(Equal(v))
+	told := small.metric(t, "fescueshed_catalogs_bytes_total") - before
+	g.Expect(told).To(BeNumerically("<=", changeBytes), "then it is told by changes again")
 }
 
 // The store takes two seconds to put the answer of a watch together, as it may for many large versions. A
@@ -218,9 +215,9 @@
 func TestLargeBundleComesIntoForceThoughAWatchIsAnsweredLate(t *testing.T) {
 	g := NewWithT(t)
 	w := largeWorld(t, 1)
-	n := largeNode(t, w, w.Hosts[0])
+	n := openNode(t, w, w.Hosts[0])
 	g.Eventually(n.Ready, patience).Should(BeTrue())
-	g.Eventually(func() int { return n.metric("fescueshed_store_calls_total") }, patience).Should(BeNumerically(">=", 10))
+	g.Eventually(func() int { return n.metric(t, "fescueshed_store_calls_total") }, patience).Should(BeNumerically(">=", 10))
 	w.Store.SetTrouble(metadata.Trouble{SlowEvents: 2 * time.Second})
 	v := w.Roll()
 	g.Eventually(n.Version, patience).Should(Equal(v))
--- a/internal/version/bundle/history.go
+++ b/internal/version/bundle/history.go
@@ -17,7 +17,9 @@
 // Now returns the bundle in force, the zero value if there is none.
 func (h *History) Now() Accepted { return h.now }
 
-// Add puts a later bundle in force. step leads there from the one before, nil if there was none.
+// Add puts a later bundle in force. step leads there from the one before. One that doesn't, or nil,
+// is where the history begins: a member that was told by the steps before it would lack what lies
+// between.
 func (h *History) Add(a Accepted, step *Update) {
 	if step != nil && step.From == h.now.Version {
 		h.steps = append(h.steps, step)
--- a/internal/version/bundle/update.go
+++ b/internal/version/bundle/update.go
@@ -55,7 +55,7 @@
 func (u *Update) Apply(at Accepted) (Accepted, error) {
 	b := &Bundle{Services: u.Services, Routes: u.Routes, Operators: u.Operators}
 	if u.From != 0 {
-		if u.From != at.Version || at.Bundle == nil {
+		if u.From != at.Version {
 			return Accepted{}, eris.Wrapf(ErrNotLedOn, "from version %d, not %d", u.From, at.Version)
 		}
 		b.Services = patch(at.Bundle.Services, u.Services, u.GoneServices, (*Service).key)
--- a/internal/version/bundle/update_test.go
+++ b/internal/version/bundle/update_test.go
@@ -81,6 +81,29 @@
 	g.Expect(h.Since(9).From).To(BeZero(), "a version that isn't remembered is led by the whole bundle")
 }
 
+// A step leads on from a version that this daemon never had in force.
+func TestHistoryBeginsAnewAfterAGap(t *testing.T) {
+	first, second := accepted(1, map[int]int{1: 0}), accepted(2, map[int]int{1: 1})
+	third, fourth := accepted(3, map[int]int{1: 0, 2: 0}), accepted(4, map[int]int{2: 0})
+	for name, step := range map[string]*bundle.Update{
+		"no step":        nil,
+		"another step":   bundle.Diff(first, third),
+		"a whole bundle": bundle.Whole(third),
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			var h bundle.History
+			h.Add(first, nil)
+			h.Add(second, bundle.Diff(first, second))
+			h.Add(third, step)
+			h.Add(fourth, bundle.Diff(third, fourth))
+			g.Expect(h.Since(1).From).To(BeZero())
+			g.Expect(h.Since(2).From).To(BeZero())
+			g.Expect(h.Since(3).From).To(BeEquivalentTo(3))
+		})
+	}
+}
+
 // What is remembered grows with each version of a large bundle until the daemon's memory is gone.
 func TestHistoryRemembersNoMoreThanTheBundleHas(t *testing.T) {
 	const many = 100
--- a/internal/version/transfer/transfer.go
+++ b/internal/version/transfer/transfer.go
@@ -1,6 +1,7 @@
 package transfer
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"sync/atomic"
@@ -16,15 +17,18 @@
 	Begin time.Duration
 	// Stall is how long nothing of it may arrive once it has begun.
 	Stall time.Duration
+	// Longest is how long the rest of it may take, DefaultLongest if it is zero.
+	Longest time.Duration
 }
 
 const (
 	// DefaultStall is three retransmissions on a link that loses packets. A connection that went
 	// silent in the middle of an answer costs this long.
 	DefaultStall = 700 * time.Millisecond
-	// longest bounds a transfer that comes in drops: four megabytes, the largest answer, on a third
-	// of the users' thinnest link, 10 Mbit/s.
-	longest = 10 * time.Second
+	// DefaultLongest ends a transfer that comes in drops, which would else hold up all later ones. It
+	// is what four megabytes, the largest answer, take on a third of the users' thinnest link, 10
+	// Mbit/s.
+	DefaultLongest = 10 * time.Second
 )
 
 // ErrStalled is the cause of the end of a transfer that didn't begin, stopped or took longer than
@@ -52,7 +56,7 @@
 	giveUp := func() { cancel(ErrStalled) }
 	if l.Begin > 0 {
 		t.stall = time.AfterFunc(l.Begin, giveUp)
-		t.end = time.AfterFunc(l.Begin+longest, giveUp)
+		t.end = time.AfterFunc(l.Begin+cmp.Or(l.Longest, DefaultLongest), giveUp)
 	}
 	return ctx, t
 }
