--- a/cmd/fescueshed/main.go
+++ b/cmd/fescueshed/main.go
@@ -19,6 +19,7 @@
 	Balancer   balancerCommand   `cmd:"" help:"Run a balancer until SIGTERM, which ends it gracefully."`
 	Cookie     carrier.Command   `cmd:"" help:"Run a balancer for flows that carry a cookie, until SIGTERM."`
 	Bundle     bundleCommands    `cmd:"" help:"Prepare, approve and roll bundles."`
+	Zone       zoneCommands      `cmd:"" help:"Evacuate a zone of balancers by cookie, and take it back."`
 	Key        keyCommands       `cmd:"" help:"Make and show operators' keys."`
 	Status     statusCommand     `cmd:"" help:"Show what a balancer knows: members, upstreams, load, drops."`
 	Capacity   capacityCommand   `cmd:"" help:"Measure what the parts cost and work out the size to design for."`
--- a/cmd/fescueshed/report.go
+++ b/cmd/fescueshed/report.go
@@ -48,6 +48,7 @@
 	for _, s := range r.Services {
 		fmt.Fprintf(w, "%s\t%.3f\n", s.Name, s.Imbalance)
 	}
+	printEvacuated(w, r.Evacuated)
 	printDrops(w, r.Drops)
 	return w.Flush()
 }
--- a/cmd/fescueshed/status.go
+++ b/cmd/fescueshed/status.go
@@ -71,10 +71,21 @@
 		}
 		fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%d\t%s\n", u.Service, name, u.Zone, u.Flows, u.Requests, bar(u.Requests, u.Slots))
 	}
+	printEvacuated(w, status.Summarize([]status.Status{*s}).Evacuated)
 	printDrops(w, s.Drops)
 	return w.Flush()
 }
 
+func printEvacuated(w io.Writer, zones []status.EvacuatedZone) {
+	if len(zones) == 0 {
+		return
+	}
+	fmt.Fprintln(w, "\nEVACUATED ZONE\tSINCE\tOPEN FLOWS\tBALANCERS")
+	for _, z := range zones {
+		fmt.Fprintf(w, "%s\t%s\t%d\t%d of %d\n", z.Zone, z.Since.Format(time.RFC3339), z.Flows, z.Balancers, z.Of)
+	}
+}
+
 func printDrops(w io.Writer, drops []status.DropStatus) {
 	fmt.Fprintln(w, "\nDROPPED FOR\tPACKETS")
 	for _, d := range drops {
--- /dev/null
+++ b/cmd/fescueshed/zone_test.go
@@ -0,0 +1,62 @@
+package main
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/fescueshed/fescueshed/internal/standin/metadata"
+	"github.com/fescueshed/fescueshed/internal/version/registry"
+	"github.com/fescueshed/fescueshed/platform/wire"
+)
+
+// An operator mistypes a zone, evacuates one twice, takes back one that wasn't evacuated, and does it
+// while the store turns calls away. Each time the command says what is so, and a zone that nobody knows
+// is never written: the zone that was meant would be switched off full of flows.
+func TestZoneCommandsAsProcesses(t *testing.T) {
+	binary := filepath.Join(t.TempDir(), "fescueshed")
+	if out, err := exec.Command("go", "build", "-o", binary, ".").CombinedOutput(); err != nil {
+		t.Fatalf("%v\n%s", err, out)
+	}
+	store := metadata.NewStore()
+	store.Register(&registry.Registration{
+		ID: 7, Service: "feed", Address: netip.MustParseAddrPort("192.0.2.7:80"), Zone: "east", Slots: 1,
+	})
+	server := httptest.NewServer(store)
+	defer server.Close()
+	run := func(verb, zone string) (string, error) {
+		out, err := exec.Command(binary, "zone", verb, "--store", server.URL, zone).CombinedOutput()
+		return string(out), err
+	}
+	for _, step := range []struct {
+		verb, zone, says string
+		fails, evacuated bool
+	}{
+		{verb: "evacuate", zone: "eats", says: `ZONE: "eats" has no upstream; zones with upstreams: east`, fails: true},
+		{verb: "take-back", zone: "east", says: "wasn't evacuated"},
+		{verb: "evacuate", zone: "east", says: "Zone east is evacuated.", evacuated: true},
+		{verb: "evacuate", zone: "east", says: "evacuated already", evacuated: true},
+		{verb: "take-back", zone: "east", says: "taken back"},
+	} {
+		out, err := run(step.verb, step.zone)
+		if (err != nil) != step.fails || !strings.Contains(out, step.says) {
+			t.Errorf("%s %s: %v, %q, want %q", step.verb, step.zone, err, out, step.says)
+		}
+		if there := store.Content(wire.KindEvacuations, "east") != ""; there != step.evacuated {
+			t.Errorf("%s %s: entry is there: %t, want %t", step.verb, step.zone, there, step.evacuated)
+		}
+	}
+	if store.Content(wire.KindEvacuations, "eats") != "" {
+		t.Error("a zone that nobody knows was written")
+	}
+	store.SetTrouble(metadata.Trouble{Status: http.StatusServiceUnavailable})
+	time.AfterFunc(500*time.Millisecond, func() { store.SetTrouble(metadata.Trouble{}) })
+	if out, err := run("evacuate", "east"); err != nil || store.Content(wire.KindEvacuations, "east") == "" {
+		t.Errorf("while the store is busy: %v, %q", err, out)
+	}
+}
--- a/cmd/soak/fault.go
+++ b/cmd/soak/fault.go
@@ -50,6 +50,7 @@
 	{name: "restart of an upstream", weight: 3, inject: (*run).restart},
 	{name: "foreign entries", weight: 2, inject: (*run).foreign},
 	{name: "add", weight: 3, planned: true, inject: (*run).add},
+	{name: "evacuation", weight: 2, planned: true, inject: (*run).evacuate},
 }
 
 // draw picks a fault by weight.
@@ -228,3 +229,17 @@
 	}
 	return "an upstream joins in " + h.Zone
 }
+
+// evacuationFor is how long a zone stays evacuated at least: longer than the bound, so that what
+// enters it too late shows.
+const evacuationFor = 7 * time.Second
+
+func (r *run) evacuate() string {
+	zone := r.w.Hosts[r.host()].Zone
+	if !r.w.Evacuate(zone) {
+		return ""
+	}
+	d := evacuationFor + r.duration()
+	time.AfterFunc(d, func() { r.w.TakeBack(zone) })
+	return fmt.Sprintf("%s is evacuated for %v", zone, d)
+}
--- a/internal/connection/cookie/cause.go
+++ b/internal/connection/cookie/cause.go
@@ -44,6 +44,8 @@
 	CauseSilent
 	// CauseSpilled: a new flow went to another zone, which had more room.
 	CauseSpilled
+	// CauseEvacuated: a first packet came again after the zone of its upstream was evacuated.
+	CauseEvacuated
 
 	// NumCauses is the number of causes.
 	NumCauses
@@ -51,7 +53,7 @@
 
 var causeNames = [NumCauses]string{
 	"None", "Malformed", "NoRoute", "NoUpstream", "Gone", "Dead", "Restarted", "UnknownCookie", "NoCookie", "StaleOpen",
-	"Placed", "Repeated", "Silent", "Spilled",
+	"Placed", "Repeated", "Silent", "Spilled", "Evacuated",
 }
 
 // String names the cause.
--- a/internal/connection/cookie/engine.go
+++ b/internal/connection/cookie/engine.go
@@ -38,10 +38,12 @@
 	// heard is when any upstream last showed a sign of life.
 	heard time.Time
 	// turned is when the windows of outcomes last turned.
-	turned     time.Time
-	busy       map[string]busyness
-	zones      map[zoneService]zoneLoad
-	reaches    map[bundle.Zone]reach
+	turned  time.Time
+	busy    map[string]busyness
+	zones   map[zoneService]zoneLoad
+	reaches map[bundle.Zone]reach
+	// evacuated holds since when zones are evacuated.
+	evacuated  map[bundle.Zone]time.Time
 	candidates []upstream.Candidate
 	requests   map[string]*Requests
 	Board      *upstream.Board
--- a/internal/connection/cookie/load.go
+++ b/internal/connection/cookie/load.go
@@ -146,7 +146,7 @@
 	for name, list := range e.table.byService {
 		z := peer.ZoneLoad{Zone: e.opts.Zone, Service: name}
 		for _, u := range list {
-			if u.Route.Zone != e.opts.Zone || !u.usable() {
+			if u.Route.Zone != e.opts.Zone || !u.usable() || e.isEvacuated(u) {
 				continue
 			}
 			z.Slots += uint32(u.Route.Slots)
--- a/internal/connection/cookie/open.go
+++ b/internal/connection/cookie/open.go
@@ -13,6 +13,9 @@
 	if f == nil {
 		return e.place(p, r, now)
 	}
+	if e.isEvacuated(f.up) {
+		return e.openElsewhere(p, f, r, now)
+	}
 	if f.opened || p.Copy <= f.copies {
 		// A datagram that the network doubled or delayed.
 		return Verdict{Action: ActionForward, Cause: CauseRepeated, Upstream: f.up}
@@ -32,6 +35,23 @@
 	return e.placeAgain(p, f, r, now)
 }
 
+// openElsewhere decides for a first packet that comes again after the zone of its upstream was
+// evacuated. If the flow is open, the packet is of no use to anybody any more, and could open a
+// second one there.
+func (e *Engine) openElsewhere(p *Packet, f *flow, r *bundle.CallerRoute, now time.Time) Verdict {
+	if f.opened {
+		return Verdict{Cause: CauseEvacuated}
+	}
+	f.copies, f.last = max(f.copies, p.Copy), now
+	v := e.placeAgain(p, f, r, now)
+	if !e.isEvacuated(f.up) {
+		return v
+	}
+	e.forget(p.Key, f)
+	e.requestsOf(f.up.Route.Service).Refused++
+	return refuse(p, CauseEvacuated)
+}
+
 // place chooses the upstream of a new flow.
 func (e *Engine) place(p *Packet, r *bundle.CallerRoute, now time.Time) Verdict {
 	h := p.Key.hash()
@@ -75,7 +95,7 @@
 	for _, suspected := range [...]bool{false, true} {
 		e.candidates = e.candidates[:0]
 		for _, u := range e.table.byService[s.Name] {
-			if excluded(u, not) || !u.eligible(suspected, now) {
+			if excluded(u, not) || e.isEvacuated(u) || !u.eligible(suspected, now) {
 				continue
 			}
 			e.candidates = append(e.candidates, upstream.Candidate{
--- a/internal/connection/cookie/watch.go
+++ b/internal/connection/cookie/watch.go
@@ -90,6 +90,9 @@
 func (e *Engine) DueProbes(now time.Time) []Probe {
 	var out []Probe
 	for _, u := range e.upstreams {
+		if u.flows == 0 && e.isEvacuated(u) {
+			continue // Nobody waits for what it would find, and nothing is to be sent there.
+		}
 		if u.probeDue(now) {
 			u.probes++
 			u.lastProbe = now
@@ -103,7 +106,7 @@
 func (e *Engine) reference(not *Upstream) *bundle.UpstreamRoute {
 	var best *Upstream
 	for _, u := range e.upstreams {
-		if u == not || !u.listed || u.health != HealthGood {
+		if u == not || !u.listed || u.health != HealthGood || e.isEvacuated(u) {
 			continue
 		}
 		if best == nil || u.heard.After(best.heard) {
--- a/internal/connection/peer/codec.go
+++ b/internal/connection/peer/codec.go
@@ -17,9 +17,9 @@
 	DomainMembership Domain = "fescueshed membership 1\n"
 	// DomainNumberedMembership is that of membership messages with numbers.
 	DomainNumberedMembership Domain = "fescueshed membership 2\n"
-	DomainNews               Domain = "fescueshed news 4\n"
+	DomainNews               Domain = "fescueshed news 5\n"
 	DomainReport             Domain = "fescueshed report 3\n"
-	DomainCatalog            Domain = "fescueshed catalog 3\n"
+	DomainCatalog            Domain = "fescueshed catalog 4\n"
 )
 
 // checked is a pointer to a wire type that checks itself when decoded.
--- /dev/null
+++ b/internal/connection/peer/evacuated_test.go
@@ -0,0 +1,34 @@
+package peer_test
+
+import (
+	"fmt"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/fescueshed/fescueshed/internal/connection/peer"
+	"github.com/fescueshed/fescueshed/internal/version/bundle"
+	"github.com/fescueshed/fescueshed/internal/version/evacuation"
+)
+
+// evacuatedZones returns so many zones, as of one revision.
+func evacuatedZones(n int) evacuation.Zones {
+	var list []bundle.Zone
+	for i := range n {
+		list = append(list, bundle.Zone(fmt.Sprintf("zone-%02d", i)))
+	}
+	return evacuation.NewZones(list, 3)
+}
+
+var _ = Describe("Evacuated zones in news", func() {
+	It("are told whole if they are few, and by their digest if they aren't", func() {
+		few := evacuatedZones(peer.MaxNewsZones)
+		n := peer.Evacuated(&few)
+		Expect(n.Told()).To(BeTrue())
+		many := evacuatedZones(peer.MaxNewsZones + 1)
+		n = peer.Evacuated(&many)
+		Expect(n.Told()).To(BeFalse())
+		Expect(n.Lacks(&few)).To(BeTrue())
+		Expect(n.Lacks(&many)).To(BeFalse())
+	})
+})
--- a/internal/connection/peer/news.go
+++ b/internal/connection/peer/news.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/fescueshed/fescueshed/internal/version/bundle"
+	"github.com/fescueshed/fescueshed/internal/version/evacuation"
 	"github.com/fescueshed/fescueshed/internal/version/objects"
 	"github.com/fescueshed/fescueshed/internal/version/registry"
 )
@@ -29,13 +30,42 @@
 	Bundle     bundle.Version
 	BundleAsOf objects.Revision
 	Changes    []registry.Change
+	Evacuated  EvacuatedNews
+}
+
+// EvacuatedNews are the evacuated zones as news tell them: whole if they are few, else by their
+// digest.
+type EvacuatedNews struct {
+	_      struct{} `cbor:",toarray"`
+	Zones  evacuation.Zones
+	Digest uint64
+}
+
+// Evacuated returns what news tell of evacuated zones.
+func Evacuated(z *evacuation.Zones) EvacuatedNews {
+	out := EvacuatedNews{Zones: evacuation.Zones{AsOf: z.AsOf}, Digest: z.Digest()}
+	if len(z.List) <= MaxNewsZones {
+		out.Zones.List = z.List
+	}
+	return out
+}
+
+// Told reports whether the news hold the zones whole.
+func (e *EvacuatedNews) Told() bool { return e.Zones.Digest() == e.Digest }
+
+// Lacks reports whether a daemon that knows z lacks what the news announce.
+func (e *EvacuatedNews) Lacks(z *evacuation.Zones) bool {
+	return e.Zones.AsOf >= z.AsOf && e.Digest != z.Digest()
 }
 
 // Limits of a News and a Report, so that each fits one datagram.
 const (
 	// MaxNewsChanges bounds Changes: one takes up to 75 bytes. A member that misses
 	// more fetches them.
-	MaxNewsChanges = 16
+	MaxNewsChanges = 14
+	// MaxNewsZones bounds the evacuated zones beside them: one takes about 12 bytes. A member that misses
+	// more fetches them.
+	MaxNewsZones = 12
 	// MaxLoads bounds Loads: one takes about 11 bytes.
 	MaxLoads = 64
 	// MaxDead bounds Dead.
@@ -52,6 +82,9 @@
 	if n.From == 0 || n.Age < 0 || n.Doubt < 0 || len(n.Changes) > MaxNewsChanges {
 		return ErrMessage
 	}
+	if err := n.Evacuated.Zones.Check(); err != nil {
+		return err
+	}
 	for i := range n.Changes {
 		if err := n.Changes[i].Check(); err != nil {
 			return err
@@ -153,6 +186,8 @@
 	AsOf       objects.Revision
 	Digest     uint64
 	Doubt      time.Duration
+	// Evacuated are all evacuated zones that the sender knows.
+	Evacuated evacuation.Zones
 	// Listed says that Registrations is the list as of AsOf. Changed says that Changes
 	// lead there from what the asker knows. Neither is sent to one that knows as much.
 	Listed        bool
@@ -186,6 +221,9 @@
 			return err
 		}
 	}
+	if err := c.Evacuated.Check(); err != nil {
+		return err
+	}
 	for i := range c.Registrations {
 		if err := c.Registrations[i].Check(); err != nil {
 			return err
--- a/internal/process/carrier/bundle.go
+++ b/internal/process/carrier/bundle.go
@@ -16,10 +16,10 @@
 func (c *Carrier) knownBundle() objects.Revision {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.engine.Ready() {
+	if !c.ready() {
 		return 0
 	}
-	return c.bundleAsOf
+	return c.known.bundleAsOf
 }
 
 func (c *Carrier) listBundles(s objects.Snapshot[bundle.Accepted], now time.Time) {
@@ -86,7 +86,7 @@
 		}
 		routing := bundle.NewRouting(a.Version, a.Bundle, nil)
 		c.mu.Lock()
-		c.history.Add(a, step)
+		c.known.history.Add(a, step)
 		resets := c.engine.SetRouting(routing, time.Now())
 		c.noteReady()
 		c.mu.Unlock()
@@ -121,14 +121,14 @@
 func (c *Carrier) setLacksWholeBundle(lacks bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.lacksWholeBundle = lacks
+	c.known.lacksWholeBundle = lacks
 }
 
 // bundleInForce returns the bundle in force, the zero value if there is none.
 func (c *Carrier) bundleInForce() bundle.Accepted {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.history.Now()
+	return c.known.history.Now()
 }
 
 // confirmBundle notes that this daemon itself has read which bundle is the newest, as of a revision.
@@ -142,8 +142,6 @@
 // confirmBundleAt notes as of when, and as of which revision, the bundle in force is the newest.
 // c.mu is held.
 func (c *Carrier) confirmBundleAt(at time.Time, asOf objects.Revision) {
-	if at.After(c.confirmedBundle) {
-		c.confirmedBundle = at
-	}
-	c.bundleAsOf = max(c.bundleAsOf, asOf)
+	c.known.confirm(kindBundles, at)
+	c.known.bundleAsOf = max(c.known.bundleAsOf, asOf)
 }
--- a/internal/process/carrier/carrier.go
+++ b/internal/process/carrier/carrier.go
@@ -25,10 +25,12 @@
 // Platform is how a daemon speaks to what is around it.
 type Platform struct {
 	Packets cookie.Codec
-	// Store makes the calls that the two feeds are read by.
+	// Store makes the calls that the feeds are read by.
 	Store         *objects.Caller
 	Bundles       objects.Feed[bundle.Accepted]
 	Registrations objects.Feed[registry.Registration]
+	// Evacuations has an object for each evacuated zone.
+	Evacuations objects.Feed[bundle.Zone]
 	// Contacts is the object by which daemons find each other.
 	Contacts objects.Cell[peer.Contacts]
 	// Readiness makes the handler that routers ask.
@@ -74,25 +76,12 @@
 	// mu guards what follows.
 	mu      sync.Mutex
 	engine  *cookie.Engine
-	catalog *registry.Catalog
 	reading peer.Reading
-	// history holds the bundle in force and what led to it, bundleAsOf is the revision up to which
-	// the store is known to have no newer one. lacksWholeBundle is set if what another daemon told
-	// didn't lead to its bundle.
-	history          bundle.History
-	bundleAsOf       objects.Revision
-	lacksWholeBundle bool
+	known   knowledge
 	// origin is the daemon whose news were heard last, passed the last news that this
 	// daemon passed on.
 	origin peer.ID
 	passed word
-	// lacksWhole is set if changes of another daemon didn't lead to its list.
-	lacksWhole bool
-	// confirmedBundle and confirmedList are as of when the store's content is known.
-	confirmedBundle, confirmedList time.Time
-	// failing is when a call of the store failed last, zero if one was answered since. storeAnswered is
-	// when one was answered last.
-	failing, storeAnswered time.Time
 }
 
 // New opens the sockets of a daemon and starts its parts. The clean-up function
@@ -103,7 +92,7 @@
 		pauses:   timer.NewPauses(pauseLimit),
 		logs:     newDecisionLog(cfg.LogsPerSecond),
 		started:  time.Now(),
-		catalog:  registry.NewCatalog(),
+		known:    knowledge{catalog: registry.NewCatalog()},
 	}
 	c.start = newStartup(c.started, cfg.FirstStart)
 	c.engine = cookie.NewEngine(cookie.Options{
@@ -151,13 +140,19 @@
 func (c *Carrier) placesFlows() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.engine.Ready()
+	return c.ready()
+}
+
+// ready is placesFlows while c.mu is held. Without the evacuated zones no flow is placed: the first
+// ones would enter a zone that is being emptied.
+func (c *Carrier) ready() bool {
+	return c.engine.Ready() && !c.known.confirmed[kindEvacuations].IsZero()
 }
 
 // noteReady lets those go on that wait for the daemon to know enough to place flows. c.mu is
 // held.
 func (c *Carrier) noteReady() {
-	if c.engine.Ready() {
+	if c.ready() {
 		c.start.ready.happen()
 	}
 }
@@ -170,7 +165,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	n := 0
-	for _, r := range c.catalog.InUse() {
+	for _, r := range c.known.catalog.InUse() {
 		if r.Known() {
 			n++
 		}
@@ -183,7 +178,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	n := 0
-	for _, r := range c.catalog.InUse() {
+	for _, r := range c.known.catalog.InUse() {
 		if !r.Unusable && !r.Draining {
 			n++
 		}
@@ -202,7 +197,7 @@
 func (c *Carrier) awake(now time.Time) {
 	c.pauses.Seen(now)
 	c.mu.Lock()
-	if c.catalog.Expire(now) {
+	if c.known.catalog.Expire(now) {
 		// Entries that are gone now end no flow by themselves: they are looked at first.
 		_ = c.follow(now)
 	}
--- a/internal/process/carrier/catalog.go
+++ b/internal/process/carrier/catalog.go
@@ -61,9 +61,9 @@
 	sent := time.Now()
 	c := m.c
 	c.mu.Lock()
-	params := peer.CatalogParams{AsOf: c.catalog.AsOf, Digest: c.catalog.Digest(), Whole: c.lacksWhole}
-	if !c.lacksWholeBundle {
-		params.Version = c.history.Now().Version
+	params := peer.CatalogParams{AsOf: c.known.catalog.AsOf, Digest: c.known.catalog.Digest(), Whole: c.known.lacksWholeList}
+	if !c.known.lacksWholeBundle {
+		params.Version = c.known.history.Now().Version
 	}
 	c.mu.Unlock()
 	params.Joining = sent.Sub(c.started) < JoinedAfter
@@ -134,18 +134,22 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.engine.LearnGone(got.Gone, now)
+	if got.Known {
+		c.takeEvacuations(got.Evacuated, bundleSource{source: "Peer", age: now.Sub(as)}, now)
+		c.confirmEvacuations(as)
+	}
 	if got.Known && got.Version <= version {
 		c.confirmBundleAt(as, got.BundleAsOf)
 	}
-	if got.AsOf < c.catalog.AsOf || !got.Listed && !got.Changed {
+	if got.AsOf < c.known.catalog.AsOf || !got.Listed && !got.Changed {
 		return nil
 	}
-	c.catalog.DoubtFor(got.Doubt, now)
+	c.known.catalog.DoubtFor(got.Doubt, now)
 	var changed bool
 	if got.Listed {
-		changed = c.catalog.Replace(got.Registrations, got.AsOf, now)
+		changed = c.known.catalog.Replace(got.Registrations, got.AsOf, now)
 	} else {
-		changed = c.catalog.Apply(got.Changes, got.AsOf, now)
+		changed = c.known.catalog.Apply(got.Changes, got.AsOf, now)
 	}
 	var resets []cookie.Reset
 	if changed {
@@ -153,8 +157,8 @@
 	}
 	// Changes may not have led to the sender's list: entries of the same revision that
 	// only one of the two has. Then the whole list is asked for next.
-	c.lacksWhole = got.Changed && got.Digest != c.catalog.Digest()
-	if c.lacksWhole {
+	c.known.lacksWholeList = got.Changed && got.Digest != c.known.catalog.Digest()
+	if c.known.lacksWholeList {
 		return resets
 	}
 	c.confirmList(as)
@@ -216,36 +220,38 @@
 	now := time.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	out := &peer.Catalog{Version: c.history.Now().Version, BundleAsOf: c.bundleAsOf}
+	out := &peer.Catalog{
+		Version: c.known.history.Now().Version, BundleAsOf: c.known.bundleAsOf, Evacuated: c.known.evacuated,
+	}
 	var update *bundle.Update
 	if out.Version > params.Version {
-		update = c.history.Since(params.Version)
+		update = c.known.history.Since(params.Version)
 	}
 	if params.Joining {
 		out.Gone = c.engine.Gone()
 	}
-	out.AsOf, out.Digest = c.catalog.AsOf, c.catalog.Digest()
-	out.Doubt = c.catalog.Doubt(now)
-	known := c.confirmed()
+	out.AsOf, out.Digest = c.known.catalog.AsOf, c.known.catalog.Digest()
+	out.Doubt = c.known.catalog.Doubt(now)
+	known := c.known.confirmedAll()
 	if known.IsZero() {
 		return out, update
 	}
 	out.Known, out.Age = true, now.Sub(known)
 	if params.Joining {
-		out.Changes = c.catalog.Remembered()
+		out.Changes = c.known.catalog.Remembered()
 		out.Changed = len(out.Changes) > 0
 	}
-	if params.AsOf == out.AsOf && params.Digest == c.catalog.Digest() || params.AsOf > out.AsOf {
+	if params.AsOf == out.AsOf && params.Digest == c.known.catalog.Digest() || params.AsOf > out.AsOf {
 		return out, update
 	}
 	out.Changed = false
 	if !params.Whole {
-		changes, ok := c.catalog.Since(params.AsOf)
+		changes, ok := c.known.catalog.Since(params.AsOf)
 		out.Changes, out.Changed = append(out.Changes, changes...), ok
 	}
 	if !out.Changed {
 		out.Listed = true
-		out.Registrations = c.catalog.List()
+		out.Registrations = c.known.catalog.List()
 	}
 	return out, update
 }
--- a/internal/process/carrier/data.go
+++ b/internal/process/carrier/data.go
@@ -200,7 +200,7 @@
 
 // inputs returns what decisions rest on now. c.mu is held.
 func (c *Carrier) inputs(now time.Time) inputs {
-	return inputs{bundle: c.engine.Version(), listAge: now.Sub(c.confirmedList)}
+	return inputs{bundle: c.engine.Version(), listAge: now.Sub(c.known.confirmed[kindUpstreams])}
 }
 
 func (c *Carrier) drop(cause cookie.Cause) {
--- a/internal/process/carrier/follower.go
+++ b/internal/process/carrier/follower.go
@@ -22,13 +22,8 @@
 	batchPause = 150 * time.Millisecond
 )
 
-// follower keeps up with one kind of the store's objects.
-type follower[T any] struct {
-	c    *Carrier
-	feed objects.Feed[T]
-	name string
-	// long says that the kind may take many pages to list.
-	long bool
+// intake is what a daemon does with a kind of objects that it reads.
+type intake[T any] struct {
 	// list takes a whole list, changes what came after it. Both are told when the
 	// store answered.
 	list    func(objects.Snapshot[T], time.Time)
@@ -36,6 +31,16 @@
 	// known returns the revision from which the kind is known by what others told, zero if it
 	// must be listed. It may be nil.
 	known func() objects.Revision
+	// long says that the kind may take many pages to list.
+	long bool
+}
+
+// follower keeps up with one kind of the store's objects.
+type follower[T any] struct {
+	intake[T]
+	c    *Carrier
+	kind kind
+	feed objects.Feed[T]
 	// failed is since when calls fail; zero if they don't.
 	failed time.Time
 	// listing is the list in progress, nil if there is none. fresh says that the next
@@ -50,6 +55,10 @@
 	lines *logs.Limiter
 }
 
+func newFollower[T any](c *Carrier, k kind, feed objects.Feed[T], in intake[T]) *follower[T] {
+	return &follower[T]{intake: in, c: c, kind: k, feed: feed, lines: logs.NewLimiter(unusableLines)}
+}
+
 func (f *follower[T]) run(ctx context.Context) {
 	// Zero means that the kind is to be listed.
 	var asOf objects.Revision
@@ -74,10 +83,10 @@
 				sleep(ctx, batchPause)
 			}
 		case eris.Is(err, objects.ErrHistoryGone):
-			klog.InfoS("Store dropped its history", "Kind", f.name, "AsOf", asOf)
+			klog.InfoS("Store dropped its history", "Kind", f.kind, "AsOf", asOf)
 			asOf, f.listing, f.fresh = 0, nil, true
 		case asOf != 0 && f.listsInstead(err, began):
-			klog.InfoS("Store can't be watched, it is listed", "Kind", f.name, "AsOf", asOf, "Error", err.Error())
+			klog.InfoS("Store can't be watched, it is listed", "Kind", f.kind, "AsOf", asOf, "Error", err.Error())
 			asOf, f.listing, f.fresh = 0, nil, true
 		default:
 			f.fails(err)
@@ -98,7 +107,7 @@
 	}
 	f.c.mu.Lock()
 	defer f.c.mu.Unlock()
-	return f.stalls.Stalled(began, f.c.storeAnswered)
+	return f.stalls.Stalled(began, f.c.known.answered)
 }
 
 // step lists or watches once and takes in what that brings. A daemon that starts waits a little
@@ -210,7 +219,7 @@
 func (f *follower[T]) unusable(err error) {
 	f.c.unusable.Add(1)
 	if left, ok := f.lines.Allow(time.Now()); ok {
-		klog.ErrorS(err, "Stored object can't be used", "Kind", f.name, "LeftOut", left)
+		klog.ErrorS(err, "Stored object can't be used", "Kind", f.kind, "LeftOut", left)
 	}
 }
 
@@ -224,7 +233,7 @@
 	f.c.storeFails(now)
 	if f.failed.IsZero() {
 		f.failed = now
-		klog.ErrorS(err, "Store lost", "Kind", f.name)
+		klog.ErrorS(err, "Store lost", "Kind", f.kind)
 	}
 }
 
@@ -233,13 +242,13 @@
 func (f *follower[T]) answered() {
 	now := time.Now()
 	f.c.mu.Lock()
-	f.c.failing, f.c.storeAnswered = time.Time{}, now
-	if last := f.c.confirmedList; !last.IsZero() && now.Sub(last) > outageAfter {
-		f.c.catalog.StoreReturned(now)
+	f.c.known.failing, f.c.known.answered = time.Time{}, now
+	if last := f.c.known.confirmed[kindUpstreams]; !last.IsZero() && now.Sub(last) > outageAfter {
+		f.c.known.catalog.StoreReturned(now)
 	}
 	f.c.mu.Unlock()
 	if !f.failed.IsZero() {
-		klog.InfoS("Store regained", "Kind", f.name, "After", now.Sub(f.failed))
+		klog.InfoS("Store regained", "Kind", f.kind, "After", now.Sub(f.failed))
 		f.failed = time.Time{}
 	}
 }
--- a/internal/process/carrier/follower_test.go
+++ b/internal/process/carrier/follower_test.go
@@ -35,12 +35,13 @@
 	g := NewWithT(t)
 	var listed objects.Revision
 	f := &follower[int]{
-		c:       &Carrier{start: newStartup(time.Now(), false), catalog: registry.NewCatalog()},
-		feed:    &busyFeed{},
-		name:    "Numbers",
-		long:    true,
-		list:    func(s objects.Snapshot[int], _ time.Time) { listed = s.AsOf },
-		changes: func(objects.Changes[int], time.Time) {},
+		c:    &Carrier{start: newStartup(time.Now(), false), known: knowledge{catalog: registry.NewCatalog()}},
+		feed: &busyFeed{},
+		intake: intake[int]{
+			long:    true,
+			list:    func(s objects.Snapshot[int], _ time.Time) { listed = s.AsOf },
+			changes: func(objects.Changes[int], time.Time) {},
+		},
 	}
 	for range 2 {
 		_, err := f.listAll(t.Context())
@@ -66,10 +67,12 @@
 			g := NewWithT(t)
 			feed := &holdingFeed{}
 			f := &follower[int]{
-				c:       &Carrier{start: newStartup(time.Now(), false), catalog: registry.NewCatalog()},
-				feed:    feed,
-				list:    func(objects.Snapshot[int], time.Time) {},
-				changes: func(objects.Changes[int], time.Time) {},
+				c:    &Carrier{start: newStartup(time.Now(), false), known: knowledge{catalog: registry.NewCatalog()}},
+				feed: feed,
+				intake: intake[int]{
+					list:    func(objects.Snapshot[int], time.Time) {},
+					changes: func(objects.Changes[int], time.Time) {},
+				},
 			}
 			if tc.told {
 				f.known = func() objects.Revision { return 0 }
--- a/internal/process/carrier/follows_test.go
+++ b/internal/process/carrier/follows_test.go
@@ -26,6 +26,8 @@
 		told := now.Add(time.Second)
 		c.engine.SetRouting(bundle.NewRouting(1, &bundle.Bundle{}, nil), told)
 		c.engine.Confirm(told)
+		Expect(c.follows(rank, told.Add(3*time.Second))).To(BeFalse(), "the evacuated zones aren't known")
+		c.known.confirm(kindEvacuations, told)
 		c.reading.Heard(told, false)
 		Expect(c.follows(rank, told)).To(BeFalse())
 		Expect(c.follows(rank, told.Add(3*time.Second))).To(BeTrue(), "nobody tells it more")
--- a/internal/process/carrier/http.go
+++ b/internal/process/carrier/http.go
@@ -84,10 +84,17 @@
 	s.NewGauge("fescueshed_flows", func() float64 { return float64(c.flows()) })
 	s.NewGauge("fescueshed_members", func() float64 { return float64(c.Members()) })
 	s.NewGauge("fescueshed_bundle_version", func() float64 { return float64(c.inForce.Version()) })
+	for k := range numKinds {
+		s.NewGauge(fmt.Sprintf("fescueshed_store_kind_age_seconds{kind=%q}", k), func() float64 {
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			return time.Since(c.known.confirmed[k]).Seconds()
+		})
+	}
 	s.NewGauge("fescueshed_store_age_seconds", func() float64 {
 		c.mu.Lock()
 		defer c.mu.Unlock()
-		return time.Since(c.confirmed()).Seconds()
+		return time.Since(c.known.confirmedAll()).Seconds()
 	})
 	return s
 }
@@ -100,9 +107,15 @@
 	count(name+"_wasted_bytes_total", t.Wasted.Load)
 }
 
-// writeRequests writes how requests ended, by service, which are known only as they come.
+// writeRequests writes evacuated zones and how requests ended by service, which are known only as they
+// come.
 func (c *Carrier) writeRequests(w io.Writer) {
-	for _, r := range c.Status().Requests {
+	s := c.Status()
+	for _, e := range s.Evacuated {
+		fmt.Fprintf(w, "fescueshed_zone_evacuated{zone=%q} 1\n", e.Zone)
+		fmt.Fprintf(w, "fescueshed_evacuated_zone_flows{zone=%q} %d\n", e.Zone, e.Flows)
+	}
+	for _, r := range s.Requests {
 		for outcome, n := range map[string]uint64{
 			"InTime": r.InTime, "Late": r.Late, "Failed": r.Failed, "Refused": r.Refused, "Unknown": r.Unknown,
 		} {
--- /dev/null
+++ b/internal/process/carrier/knowledge.go
@@ -0,0 +1,65 @@
+package carrier
+
+import (
+	"time"
+
+	"github.com/fescueshed/fescueshed/internal/version/bundle"
+	"github.com/fescueshed/fescueshed/internal/version/evacuation"
+	"github.com/fescueshed/fescueshed/internal/version/objects"
+	"github.com/fescueshed/fescueshed/internal/version/registry"
+)
+
+// kind is a kind of the store's objects that flows are placed by.
+type kind uint8
+
+const (
+	kindBundles kind = iota
+	kindUpstreams
+	kindEvacuations
+	numKinds
+)
+
+var kindNames = [numKinds]string{"Bundles", "Registrations", "Evacuations"}
+
+// String names the kind, for logs.
+func (k kind) String() string { return kindNames[k] }
+
+// knowledge is what this daemon knows of the store's content, and as of when: from its own calls or
+// from other daemons. It isn't safe for concurrent use; Carrier.mu guards it.
+type knowledge struct {
+	// history holds the bundle in force and what led to it, bundleAsOf is the revision up to which
+	// the store is known to have no newer one.
+	history    bundle.History
+	bundleAsOf objects.Revision
+	catalog    *registry.Catalog
+	evacuated  evacuation.Zones
+	// lacksWholeBundle and lacksWholeList are set if what another daemon told didn't lead to its
+	// bundle or to its list.
+	lacksWholeBundle, lacksWholeList bool
+	// confirmed is as of when each kind is known, zero if it isn't.
+	confirmed [numKinds]time.Time
+	// failing is when a call of the store failed last, zero if one was answered since. answered is
+	// when one was answered last.
+	failing, answered time.Time
+}
+
+// confirm notes that a kind was known as a whole at a time.
+func (k *knowledge) confirm(of kind, at time.Time) {
+	if at.After(k.confirmed[of]) {
+		k.confirmed[of] = at
+	}
+}
+
+// confirmedAll returns as of when all kinds are known, zero if one isn't.
+func (k *knowledge) confirmedAll() time.Time {
+	oldest := k.confirmed[0]
+	for _, at := range k.confirmed {
+		if at.Before(oldest) {
+			oldest = at
+		}
+	}
+	return oldest
+}
+
+// complete reports whether every kind is known.
+func (k *knowledge) complete() bool { return !k.confirmedAll().IsZero() }
--- a/internal/process/carrier/news.go
+++ b/internal/process/carrier/news.go
@@ -50,7 +50,10 @@
 	version := c.inForce.Version()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	w := word{bundle: version, asOf: c.catalog.AsOf, digest: c.catalog.Digest(), as: c.confirmed()}
+	w := word{
+		bundle: version, asOf: c.known.catalog.AsOf, digest: c.known.catalog.Digest(), evacuated: c.known.evacuated.Digest(),
+		as: c.known.confirmedAll(),
+	}
 	if !w.newer(c.passed) {
 		return false
 	}
@@ -62,7 +65,7 @@
 func (m *members) sendNews(origin peer.ID, to []*peer.Member, now time.Time) {
 	c := m.c
 	c.mu.Lock()
-	as := c.confirmed()
+	as := c.known.confirmedAll()
 	if now.Sub(as) > staleNews {
 		c.mu.Unlock()
 		return
@@ -70,11 +73,12 @@
 	n := &peer.News{
 		From:       origin,
 		Age:        now.Sub(as),
-		Doubt:      c.catalog.Doubt(now),
-		BundleAsOf: c.bundleAsOf,
-		AsOf:       c.catalog.AsOf,
-		Digest:     c.catalog.Digest(),
-		Changes:    c.catalog.Recent(now.Add(-newsSpan), peer.MaxNewsChanges),
+		Doubt:      c.known.catalog.Doubt(now),
+		BundleAsOf: c.known.bundleAsOf,
+		AsOf:       c.known.catalog.AsOf,
+		Digest:     c.known.catalog.Digest(),
+		Changes:    c.known.catalog.Recent(now.Add(-newsSpan), peer.MaxNewsChanges),
+		Evacuated:  peer.Evacuated(&c.known.evacuated),
 	}
 	c.mu.Unlock()
 	// Read after the age, so that a version isn't called newer than it is known to be.
@@ -95,23 +99,30 @@
 	version := c.inForce.Version()
 	c.mu.Lock()
 	c.origin = n.From
-	c.catalog.DoubtFor(n.Doubt, now)
+	c.known.catalog.DoubtFor(n.Doubt, now)
 	var resets []cookie.Reset
-	if c.catalog.Hear(n.Changes, n.AsOf, n.Digest, now) {
+	if c.known.catalog.Hear(n.Changes, n.AsOf, n.Digest, now) {
 		resets = c.follow(now)
 	}
-	lacksBundle, lacksList := n.Lacks(version, c.catalog.AsOf, c.catalog.Digest())
+	if n.Evacuated.Told() {
+		c.takeEvacuations(n.Evacuated.Zones, bundleSource{source: "News", name: from.String(), age: n.Age}, now)
+	}
+	lacksBundle, lacksList := n.Lacks(version, c.known.catalog.AsOf, c.known.catalog.Digest())
+	lacksEvacuated := n.Evacuated.Lacks(&c.known.evacuated)
 	if !lacksList {
 		c.confirmList(as)
 	}
-	if !lacksList && !lacksBundle {
+	if !lacksEvacuated {
+		c.confirmEvacuations(as)
+	}
+	if !lacksList && !lacksBundle && !lacksEvacuated {
 		c.reading.Heard(as, v.ReadsBefore(n.From))
 		c.confirmBundleAt(as, n.BundleAsOf)
 	}
 	c.mu.Unlock()
 	c.data.resets(resets)
-	if lacksList || lacksBundle {
-		m.pull(teller(v, from, n.From), lacksBundle)
+	if lacksList || lacksBundle || lacksEvacuated {
+		m.pull(teller(v, from, n.From), lacksBundle || lacksEvacuated)
 		return
 	}
 	m.passNews(n.From, now)
--- a/internal/process/carrier/relay.go
+++ b/internal/process/carrier/relay.go
@@ -55,6 +55,8 @@
 	bundle bundle.Version
 	asOf   objects.Revision
 	digest uint64
+	// evacuated is the digest of the evacuated zones.
+	evacuated uint64
 	// as is when the store last confirmed it.
 	as time.Time
 }
@@ -64,7 +66,7 @@
 
 // newer reports whether w says more than what was passed on before.
 func (w word) newer(than word) bool {
-	if w.bundle != than.bundle || w.asOf != than.asOf || w.digest != than.digest {
+	if w.bundle != than.bundle || w.asOf != than.asOf || w.digest != than.digest || w.evacuated != than.evacuated {
 		return true
 	}
 	return w.as.Sub(than.as) > sameFor
--- a/internal/process/carrier/status.go
+++ b/internal/process/carrier/status.go
@@ -18,6 +18,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	out.Flows = c.engine.Flows()
+	out.Evacuated = c.evacuationStatus()
 	for _, u := range c.engine.Upstreams() {
 		requests := u.Load.Requests.Load()
 		out.OpenRequests += int(requests)
--- a/internal/process/carrier/store.go
+++ b/internal/process/carrier/store.go
@@ -9,7 +9,6 @@
 
 	"github.com/fescueshed/fescueshed/internal/connection/cookie"
 	"github.com/fescueshed/fescueshed/internal/connection/peer"
-	"github.com/fescueshed/fescueshed/internal/process/logs"
 	"github.com/fescueshed/fescueshed/internal/version/bundle"
 	"github.com/fescueshed/fescueshed/internal/version/objects"
 	"github.com/fescueshed/fescueshed/internal/version/registry"
@@ -18,16 +17,19 @@
 func (c *Carrier) startStore(ctx context.Context) (func(), error) {
 	ctx, cancel := context.WithCancel(ctx)
 	var wg sync.WaitGroup
-	bundles := &follower[bundle.Accepted]{
-		c: c, feed: c.platform.Bundles, name: "Bundles", list: c.listBundles, changes: c.changeBundles,
-		known: c.knownBundle, lines: logs.NewLimiter(unusableLines),
+	for _, run := range []func(context.Context){
+		newFollower(c, kindBundles, c.platform.Bundles, intake[bundle.Accepted]{
+			list: c.listBundles, changes: c.changeBundles, known: c.knownBundle,
+		}).run,
+		newFollower(c, kindUpstreams, c.platform.Registrations, intake[registry.Registration]{
+			list: c.listUpstreams, changes: c.changeUpstreams, known: c.knownList, long: true,
+		}).run,
+		newFollower(c, kindEvacuations, c.platform.Evacuations, intake[bundle.Zone]{
+			list: c.listEvacuations, changes: c.changeEvacuations, known: c.knownEvacuations,
+		}).run,
+	} {
+		wg.Go(func() { run(ctx) })
 	}
-	registrations := &follower[registry.Registration]{
-		c: c, feed: c.platform.Registrations, name: "Registrations", long: true,
-		list: c.listUpstreams, changes: c.changeUpstreams, known: c.knownList, lines: logs.NewLimiter(unusableLines),
-	}
-	wg.Go(func() { bundles.run(ctx) })
-	wg.Go(func() { registrations.run(ctx) })
 	return func() {
 		cancel()
 		wg.Wait()
@@ -55,7 +57,7 @@
 // and go on for a second after others have told the daemon all. 150 of 195 hosts that started
 // together each made two calls by that. c.mu is held.
 func (c *Carrier) follows(rank int, now time.Time) bool {
-	if !c.engine.Ready() {
+	if !c.ready() {
 		return false
 	}
 	return c.reading.Reads(c.start.ReaderRank(rank, now), now)
@@ -68,19 +70,19 @@
 			list = append(list, r)
 		}
 	}
-	c.takeList(now, func() bool { return c.catalog.Replace(list, s.AsOf, now) })
+	c.takeList(now, func() bool { return c.known.catalog.Replace(list, s.AsOf, now) })
 }
 
 // readHere notes that this daemon itself has read the store: it needn't again, unless nobody
 // tells it more in time. c.mu is held.
-func (c *Carrier) readHere() { c.reading.Heard(c.confirmed(), false) }
+func (c *Carrier) readHere() { c.reading.Heard(c.known.confirmedAll(), false) }
 
 // storeFails notes that a call of the store failed. The first time it tells others at once: they
 // hear no news meanwhile, and would turn to the store themselves.
 func (c *Carrier) storeFails(now time.Time) {
 	c.mu.Lock()
-	first := c.failing.IsZero()
-	c.failing = now
+	first := c.known.failing.IsZero()
+	c.known.failing = now
 	c.mu.Unlock()
 	if first {
 		c.members.tellLoads(now)
@@ -103,11 +105,11 @@
 func (c *Carrier) storeLost(now time.Time) (own, any bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.engine.Ready() {
+	if !c.ready() {
 		return false, false
 	}
-	own = !c.failing.IsZero() && now.Sub(c.failing) < failingFor
-	return own, own || c.reading.StoreIsLost(now) || now.Sub(c.confirmed()) > staleNews
+	own = !c.known.failing.IsZero() && now.Sub(c.known.failing) < failingFor
+	return own, own || c.reading.StoreIsLost(now) || now.Sub(c.known.confirmedAll()) > staleNews
 }
 
 // failingFor is how long a failed call counts: more than the pause to the next one of the first
@@ -119,16 +121,16 @@
 func (c *Carrier) knownList() objects.Revision {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.engine.Ready() || c.lacksWhole {
+	if !c.ready() || c.known.lacksWholeList {
 		return 0
 	}
-	return c.catalog.AsOf
+	return c.known.catalog.AsOf
 }
 
 // follow lets the engine route by what changed in the catalog. It returns resets for flows
 // that ended by it, to be sent once c.mu isn't held any more, as it is here.
 func (c *Carrier) follow(now time.Time) []cookie.Reset {
-	changes := c.catalog.TakeChanges()
+	changes := c.known.catalog.TakeChanges()
 	before := c.engine.Counters.Restarts
 	resets := c.engine.Update(changes, now)
 	unusable := 0
@@ -159,7 +161,7 @@
 			changes = append(changes, registry.Change{Registration: r, Gone: ch.List[i].Deleted})
 		}
 	}
-	c.takeList(now, func() bool { return c.catalog.Apply(changes, ch.AsOf, now) })
+	c.takeList(now, func() bool { return c.known.catalog.Apply(changes, ch.AsOf, now) })
 }
 
 // takeList takes in what this daemon itself has read of the list of upstreams. take changes the
@@ -176,19 +178,9 @@
 	c.data.resets(resets)
 }
 
-// confirmed returns as of when all of the store's content is known. c.mu is held.
-func (c *Carrier) confirmed() time.Time {
-	if c.confirmedBundle.Before(c.confirmedList) {
-		return c.confirmedBundle
-	}
-	return c.confirmedList
-}
-
 // confirmList notes as of when the list of upstreams is known. c.mu is held.
 func (c *Carrier) confirmList(at time.Time) {
-	if at.After(c.confirmedList) {
-		c.confirmedList = at
-	}
+	c.known.confirm(kindUpstreams, at)
 	c.engine.Confirm(at)
 	c.noteReady()
 }
--- a/internal/process/status/status.go
+++ b/internal/process/status/status.go
@@ -6,6 +6,7 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"time"
 
 	"github.com/rotisserie/eris"
 
@@ -29,7 +30,9 @@
 	OpenRequests int
 	Upstreams    []UpstreamStatus
 	Drops        []DropStatus
-	Requests     []RequestStatus
+	// Evacuated are the zones that get no new flow from this daemon.
+	Evacuated []EvacuationStatus
+	Requests  []RequestStatus
 }
 
 // MemberStatus is a member as the daemon sees it.
@@ -69,6 +72,15 @@
 	Unknown uint64
 }
 
+// EvacuationStatus is a zone that is evacuated.
+type EvacuationStatus struct {
+	Zone bundle.Zone
+	// Since is when this daemon was told.
+	Since time.Time
+	// Flows are those that are still open there, as far as they pass this daemon.
+	Flows int
+}
+
 // Handler serves a status as JSON.
 func Handler(get func() Status) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
--- a/internal/process/status/summary.go
+++ b/internal/process/status/summary.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"github.com/fescueshed/fescueshed/internal/version/bundle"
 )
@@ -13,6 +14,18 @@
 	Upstreams []UpstreamStatus
 	Services  []ServiceLoad
 	Drops     []DropStatus
+	Evacuated []EvacuatedZone
+}
+
+// EvacuatedZone is a zone that some balancers hold for evacuated.
+type EvacuatedZone struct {
+	Zone bundle.Zone
+	// Since is when the first of them was told.
+	Since time.Time
+	// Flows are those still open there.
+	Flows int
+	// Balancers is how many know it, Of how many were asked: where they differ, some still send new flows there.
+	Balancers, Of int
 }
 
 // VersionCount says how many balancers of a zone have a version in force.
@@ -43,6 +56,10 @@
 		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Name, b.Name))
 	})
 	slices.SortFunc(s.Drops, func(a, b DropStatus) int { return cmp.Compare(a.Cause, b.Cause) })
+	slices.SortFunc(s.Evacuated, func(a, b EvacuatedZone) int { return cmp.Compare(a.Zone, b.Zone) })
+	for i := range s.Evacuated {
+		s.Evacuated[i].Of = len(all)
+	}
 	s.Services = serviceLoads(s.Upstreams)
 	return s
 }
@@ -57,6 +74,15 @@
 		*sum = u
 		sum.Flows, sum.Requests = flows, requests
 	}
+	for _, e := range d.Evacuated {
+		sum := find(&s.Evacuated, func(x *EvacuatedZone) bool { return x.Zone == e.Zone })
+		if sum.Balancers == 0 || e.Since.Before(sum.Since) {
+			sum.Since = e.Since
+		}
+		sum.Zone = e.Zone
+		sum.Flows += e.Flows
+		sum.Balancers++
+	}
 	for _, drop := range d.Drops {
 		sum := find(&s.Drops, func(x *DropStatus) bool { return x.Cause == drop.Cause })
 		sum.Cause = drop.Cause
--- a/internal/process/status/summary_test.go
+++ b/internal/process/status/summary_test.go
@@ -1,6 +1,8 @@
 package status_test
 
 import (
+	"time"
+
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
@@ -25,6 +27,16 @@
 		Expect(r.Services[0].Imbalance).To(BeNumerically("~", 1.5), "6 and 2, the draining one left out")
 	})
 
+	// A zone is switched off though one balancer never heard of its evacuation: the sum must show that.
+	It("tells how many balancers know of an evacuated zone, and its open flows", func() {
+		since := time.Unix(1000, 0)
+		told := func(at time.Time, flows int) status.Status {
+			return status.Status{Evacuated: []status.EvacuationStatus{{Zone: "a", Since: at, Flows: flows}}}
+		}
+		s := status.Summarize([]status.Status{told(since.Add(time.Second), 3), {}, told(since, 4)})
+		Expect(s.Evacuated).To(Equal([]status.EvacuatedZone{{Zone: "a", Since: since, Flows: 7, Balancers: 2, Of: 3}}))
+	})
+
 	It("is empty without daemons", func() {
 		Expect(status.Summarize(nil).Services).To(BeEmpty())
 	})
--- a/internal/standin/flows/upstream.go
+++ b/internal/standin/flows/upstream.go
@@ -148,12 +148,15 @@
 }
 
 // OpenedAfter returns how many flows opened by a first packet that came after a time.
-func (u *Upstream) OpenedAfter(t time.Time) int {
+func (u *Upstream) OpenedAfter(t time.Time) int { return u.OpenedBetween(t, time.Now()) }
+
+// OpenedBetween returns how many flows opened by a first packet that came between two times.
+func (u *Upstream) OpenedBetween(from, until time.Time) int {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	n := 0
 	for _, at := range u.opened {
-		if at.After(t) {
+		if at.After(from) && !at.After(until) {
 			n++
 		}
 	}
--- a/internal/standin/metadata/store.go
+++ b/internal/standin/metadata/store.go
@@ -217,6 +217,12 @@
 	case r.Method == http.MethodPost, r.Method == http.MethodPut:
 		s.write(w, r, kind)
 		return
+	case named && r.Method == http.MethodDelete:
+		if s.Content(kind, name) == "" {
+			w.WriteHeader(http.StatusNotFound)
+		}
+		s.Delete(kind, name)
+		return
 	case named:
 		s.get(w, kind, name)
 		return
--- a/internal/standin/world/servers.go
+++ b/internal/standin/world/servers.go
@@ -165,7 +165,7 @@
 }
 
 // Finish returns the broken promises that the upstreams show: requests that ran
-// twice and flows that reached a draining upstream too late.
+// twice and flows that reached a draining upstream, or an evacuated zone, too late.
 func (w *World) Finish() []string {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -180,6 +180,7 @@
 			if !s.drained.IsZero() && w.unstable.Before(s.drained.Add(-settleAfter)) && s.OpenedAfter(late) > 0 {
 				out = append(out, fmt.Sprintf("flows reached upstream %x too long after it drained", s.ID))
 			}
+			out = append(out, w.entered(s)...)
 		}
 	}
 	for id, n := range runs {
--- a/internal/standin/world/world.go
+++ b/internal/standin/world/world.go
@@ -90,7 +90,8 @@
 	unstable  time.Time
 	lastRoute string
 	// idleRoutes are routes of the bundle that no caller uses.
-	idleRoutes int
+	idleRoutes  int
+	evacuations []*evacuated
 }
 
 // Host is where a balancer runs.
--- a/internal/version/bundle/bundle.go
+++ b/internal/version/bundle/bundle.go
@@ -6,6 +6,7 @@
 import (
 	"fmt"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/fescueshed/fescueshed/internal/version/hujson"
@@ -20,6 +21,9 @@
 	Routes []Route
 	// Operators are those who may prepare and approve the next bundle.
 	Operators []Operator
+	// Evacuated are zones whose upstreams get no new flow. Those of registered upstreams are evacuated at
+	// the platform's store instead, whose word needs no new version.
+	Evacuated []Zone
 }
 
 // Operator is a person with a signing key.
@@ -131,6 +135,7 @@
 		c.service(fmt.Sprintf("Services[%d]", i), &b.Services[i])
 	}
 	c.routes(b)
+	c.evacuated(b)
 	for i, o := range b.Operators {
 		path := fmt.Sprintf("Operators[%d]", i)
 		if o.Name == "" {
@@ -198,6 +203,27 @@
 	unique(c, c.ids, UpstreamIDOf(s.Name, u.Name), path+".Name", "upstream name")
 }
 
+// evacuated checks that each zone has an upstream: one that is mistyped would be taken for empty.
+func (c *checker) evacuated(b *Bundle) {
+	seen := make(map[Zone]string)
+	for i, z := range b.Evacuated {
+		at := fmt.Sprintf("Evacuated[%d]", i)
+		if !b.hasZone(z) {
+			c.findings.Add(at, "%q is the zone of no upstream", z)
+		}
+		unique(c, seen, z, at, "zone")
+	}
+}
+
+func (b *Bundle) hasZone(z Zone) bool {
+	for i := range b.Services {
+		if slices.ContainsFunc(b.Services[i].Upstreams, func(u Upstream) bool { return u.Zone == z }) {
+			return true
+		}
+	}
+	return false
+}
+
 func (c *checker) address(path string, a netip.AddrPort) {
 	if !a.IsValid() || a.Port() == 0 {
 		c.findings.Add(path, "is %q, want an IP address and a port", a)
--- a/internal/version/bundle/bundle_test.go
+++ b/internal/version/bundle/bundle_test.go
@@ -44,6 +44,8 @@
 		"key twice":         {`"VNI": 101`, `"VNI": 101, "VNI": 102`, `stands twice`},
 		"number for a word": {`"orders"`, `7`, `f:5: Services[0].Name`},
 		"no bundle":         {`{`, `[`, `f:1: `},
+		"unknown zone":      {`  "Services"`, `  "Evacuated": ["a", "q"],` + "\n  " + `"Services"`, `f:3: Evacuated[1]: "q" is the zone of no upstream`},
+		"zone twice":        {`  "Services"`, `  "Evacuated": ["a", "a"], "Services"`, `f:3: Evacuated[1]: the same zone`},
 		"bare duration":     {`"VNI": 101`, `"VNI": 101, "Deadline": 3`, `want a duration with its unit`},
 	} {
 		It("reports with file, line and field: "+name, func() {
@@ -121,6 +123,24 @@
 
 	// Reminder traffic reaches the statement service. An upstream's address is
 	// given to another service while a daemon still remembers the old meaning.
+	// A zone is to be switched off. Its upstreams keep their open flows and get no new one, until the
+	// next version takes it back.
+	It("drains the upstreams of an evacuated zone, and no others", func() {
+		b, err := bundle.Decode("f", []byte(strings.Replace(good, `"Services"`, `"Evacuated": ["b"], "Services"`, 1)))
+		Expect(err).NotTo(HaveOccurred())
+		at := func(r *bundle.Routing) map[bundle.Zone]bool {
+			out := make(map[bundle.Zone]bool)
+			for _, u := range r.Upstreams() {
+				out[u.Zone] = u.Drain
+			}
+			return out
+		}
+		evacuated := bundle.NewRouting(1, b, nil)
+		Expect(at(evacuated)).To(Equal(map[bundle.Zone]bool{"a": false, "b": true}))
+		b.Evacuated = nil
+		Expect(at(bundle.NewRouting(2, b, evacuated))).To(Equal(map[bundle.Zone]bool{"a": false, "b": false}))
+	})
+
 	It("forgets the old meaning of an address that is given to another service", func() {
 		first := bundle.NewRouting(1, decode(good), nil)
 		other := strings.NewReplacer(`"orders"`, `"archive"`, `101`, `102`).Replace(good)
--- a/internal/version/bundle/routing.go
+++ b/internal/version/bundle/routing.go
@@ -76,8 +76,8 @@
 	Zone        Zone
 	Slots       int
 	Connections int
-	// Drain is set for an upstream that must get no new flow, either because the
-	// bundle says so or because this version no longer names it.
+	// Drain is set for an upstream that must get no new flow, because the bundle says so of it or of its
+	// zone, or because this version no longer names it.
 	Drain bool
 	// Created orders registered upstreams by when they registered.
 	Created uint64
@@ -95,7 +95,7 @@
 		byAddress: make(map[netip.Addr]*UpstreamRoute),
 	}
 	for i := range b.Services {
-		t.addService(&b.Services[i])
+		t.addService(&b.Services[i], b.Evacuated)
 	}
 	for i := range b.Routes {
 		t.addRoute(&b.Routes[i])
@@ -107,7 +107,7 @@
 	return t
 }
 
-func (t *Routing) addService(s *Service) {
+func (t *Routing) addService(s *Service, evacuated []Zone) {
 	r := &ServiceRoute{
 		Name:        s.Name,
 		VNI:         s.VNI,
@@ -135,7 +135,7 @@
 			Zone:        u.Zone,
 			Slots:       u.Slots,
 			Connections: u.Connections,
-			Drain:       u.Drain,
+			Drain:       u.Drain || slices.Contains(evacuated, u.Zone),
 		})
 	}
 	t.services[s.VNI] = r
--- /dev/null
+++ b/internal/version/evacuation/suite_test.go
@@ -0,0 +1,15 @@
+package evacuation_test
+
+import (
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func TestEvacuation(t *testing.T) {
+	RegisterFailHandler(Fail)
+	cfg, reporter := GinkgoConfiguration()
+	cfg.RandomSeed = 1
+	RunSpecs(t, "evacuation", cfg, reporter)
+}
--- a/internal/version/objects/caller.go
+++ b/internal/version/objects/caller.go
@@ -92,7 +92,7 @@
 	// the time, so this only ends what a burst of calls left behind.
 	idleTimeout = time.Minute
 	// idleConnections keeps one connection for each kind that is watched.
-	idleConnections = 2
+	idleConnections = 3
 )
 
 // NewCaller returns a caller of the store at base, and its clean-up function.
