--- a/internal/connection/peer/evacuated_test.go
+++ b/internal/connection/peer/evacuated_test.go
@@ -13,7 +13,7 @@
 
 // evacuatedZones returns so many zones, as of one revision.
 func evacuatedZones(n int) evacuation.Zones {
-	var list []bundle.Zone
+	list := make([]bundle.Zone, 0, n)
 	for i := range n {
 		list = append(list, bundle.Zone(fmt.Sprintf("zone-%02d", i)))
 	}
--- a/internal/process/carrier/evacuation.go
+++ b/internal/process/carrier/evacuation.go
@@ -94,7 +94,7 @@
 // evacuationStatus tells since when zones are evacuated here and how many flows are still open
 // there. c.mu is held.
 func (c *Carrier) evacuationStatus() []status.EvacuationStatus {
-	var out []status.EvacuationStatus
+	out := make([]status.EvacuationStatus, 0, len(c.known.evacuated.List))
 	for _, zone := range c.known.evacuated.List {
 		out = append(out, status.EvacuationStatus{Zone: zone, Since: c.engine.EvacuatedSince(zone), Flows: c.engine.FlowsIn(zone)})
 	}
--- a/internal/process/carrier/evacuation_test.go
+++ b/internal/process/carrier/evacuation_test.go
@@ -141,8 +141,9 @@
 		nodes := startAll(w)
 		time.Sleep(carrier.JoinedAfter) // Then one reads for all, and the others only hear of it.
 		Eventually(func() int { return readers(nodes) }, patience).Should(Equal(1))
-		var zones []bundle.Zone
-		for i := range 20 {
+		const many = 20
+		zones := make([]bundle.Zone, 0, many)
+		for i := range many {
 			zones = append(zones, bundle.Zone(fmt.Sprintf("far-%02d", i)))
 			w.Store.Put(wire.KindEvacuations, string(zones[i]), struct{}{})
 		}
--- a/internal/process/carrier/knowledge.go
+++ b/internal/process/carrier/knowledge.go
@@ -60,6 +60,3 @@
 	}
 	return oldest
 }
-
-// complete reports whether every kind is known.
-func (k *knowledge) complete() bool { return !k.confirmedAll().IsZero() }
--- a/internal/version/bundle/bundle_test.go
+++ b/internal/version/bundle/bundle_test.go
@@ -44,9 +44,11 @@
 		"key twice":         {`"VNI": 101`, `"VNI": 101, "VNI": 102`, `stands twice`},
 		"number for a word": {`"orders"`, `7`, `f:5: Services[0].Name`},
 		"no bundle":         {`{`, `[`, `f:1: `},
-		"unknown zone":      {`  "Services"`, `  "Evacuated": ["a", "q"],` + "\n  " + `"Services"`, `f:3: Evacuated[1]: "q" is the zone of no upstream`},
-		"zone twice":        {`  "Services"`, `  "Evacuated": ["a", "a"], "Services"`, `f:3: Evacuated[1]: the same zone`},
-		"bare duration":     {`"VNI": 101`, `"VNI": 101, "Deadline": 3`, `want a duration with its unit`},
+		"unknown zone": {
+			`  "Services"`, `  "Evacuated": ["a", "q"], "Services"`, `f:3: Evacuated[1]: "q" is the zone of no upstream`,
+		},
+		"zone twice":    {`  "Services"`, `  "Evacuated": ["a", "a"], "Services"`, `f:3: Evacuated[1]: the same zone`},
+		"bare duration": {`"VNI": 101`, `"VNI": 101, "Deadline": 3`, `want a duration with its unit`},
 	} {
 		It("reports with file, line and field: "+name, func() {
 			_, err := bundle.Decode("f", []byte(strings.Replace(good, tc.old, tc.new, 1)))
