bundle, cookie, peer: routes bound to regions; upstreams that are slow after their start get what they bear

Regions: a zone's region stands in the settings; new flows, copies, spilled ones and fallbacks go to allowed regions alone, what can't is reset at once. A bundle that names an unknown region is refused with its place, and the one before stays in force. Slow upstreams: the bound holds over all hosts in any second, those out of touch included.

--- a/internal/connection/cookie/engine.go
+++ b/internal/connection/cookie/engine.go
@@ -13,8 +13,13 @@
 type Options struct {
 	// Zone is the balancer's own zone.
 	Zone bundle.Zone
+	// Regions holds the region of each zone.
+	Regions map[bundle.Zone]bundle.Region
 	// Policy chooses upstreams for new flows.
 	Policy upstream.Policy
+	// Warmer says what this balancer may send to upstreams that are slow after their start. Without one it sends
+	// nothing to those whose service bounds that.
+	Warmer Warmer
 	// FlowLifetime is how long the memory of an upstream that went is kept, so that
 	// the callers of its flows are told at once.
 	FlowLifetime time.Duration
@@ -89,6 +94,9 @@
 	return e.routing.Version
 }
 
+// SetRegions replaces the regions of zones.
+func (e *Engine) SetRegions(of map[bundle.Zone]bundle.Region) { e.opts.Regions = of }
+
 // Ready reports whether flows can be placed: there are routes, and the list of
 // upstreams has been read.
 func (e *Engine) Ready() bool { return e.routing != nil && !e.confirmed.IsZero() }
--- a/internal/connection/cookie/open.go
+++ b/internal/connection/cookie/open.go
@@ -56,7 +56,7 @@
 func (e *Engine) place(p *Packet, r *bundle.CallerRoute, now time.Time) Verdict {
 	h := p.Key.hash()
 	service := r.Pick(h)
-	u := e.choose(service, h, nil, now)
+	u := e.choose(r, service, h, nil, now)
 	if u == nil {
 		e.requestsOf(service).Refused++
 		return refuse(p, CauseNoUpstream)
@@ -72,7 +72,7 @@
 // no other, the flow stays.
 func (e *Engine) placeAgain(p *Packet, f *flow, r *bundle.CallerRoute, now time.Time) Verdict {
 	not := []*Upstream{f.up, f.before}
-	u := e.choose(r.Pick(p.Key.hash()), p.Key.hash(), not, now)
+	u := e.choose(r, r.Pick(p.Key.hash()), p.Key.hash(), not, now)
 	if u == nil {
 		return Verdict{Action: ActionForward, Cause: CauseRepeated, Upstream: f.up}
 	}
@@ -88,14 +88,16 @@
 	return CausePlaced
 }
 
-// choose asks the policy for one of the service's upstreams that take flows, the
+// choose asks the policy for one of the service's upstreams that may take a flow of the route, the
 // given ones left out. If none does, those that are only doubted are asked for.
-func (e *Engine) choose(s *bundle.ServiceRoute, seed uint64, not []*Upstream, now time.Time) *Upstream {
+func (e *Engine) choose(
+	r *bundle.CallerRoute, s *bundle.ServiceRoute, seed uint64, not []*Upstream, now time.Time,
+) *Upstream {
 	busy := e.busy[s.Name].perFlow
 	for _, suspected := range [...]bool{false, true} {
 		e.candidates = e.candidates[:0]
 		for _, u := range e.table.byService[s.Name] {
-			if excluded(u, not) || e.isEvacuated(u) || !u.eligible(suspected, now) {
+			if excluded(u, not) || !e.mayEnter(r, u) || !u.eligible(suspected, now) || !e.bearsMore(u, now) {
 				continue
 			}
 			e.candidates = append(e.candidates, upstream.Candidate{
@@ -107,13 +109,21 @@
 				ZoneFlows: e.zoneFlows(u, now),
 			})
 		}
-		if r := e.opts.Policy.Choose(e.candidates, seed); r != nil {
-			return e.upstreams[r.ID]
+		if chosen := e.opts.Policy.Choose(e.candidates, seed); chosen != nil {
+			u := e.upstreams[chosen.ID]
+			e.sentTo(u, now)
+			return u
 		}
 	}
 	return nil
 }
 
+// mayEnter reports whether new flows of a route may enter an upstream's zone at all, however short of others
+// they are.
+func (e *Engine) mayEnter(r *bundle.CallerRoute, u *Upstream) bool {
+	return !e.isEvacuated(u) && r.Allows(e.opts.Regions[u.Route.Zone])
+}
+
 // eligible reports whether a new flow may go there, or, if suspected is set, whether
 // it may for want of a better one: where the upstream is doubted or left out.
 func (u *Upstream) eligible(suspected bool, now time.Time) bool {
--- a/internal/connection/cookie/upstream.go
+++ b/internal/connection/cookie/upstream.go
@@ -68,6 +68,7 @@
 	since time.Time
 	// coldUntil is when it is no longer slow after its start.
 	coldUntil time.Time
+	pace      pace
 	// listed says that the list has it; goneAt is since when it hasn't.
 	listed bool
 	goneAt time.Time
--- /dev/null
+++ b/internal/connection/cookie/warmup.go
@@ -0,0 +1,50 @@
+package cookie
+
+import (
+	"time"
+
+	"github.com/fescueshed/fescueshed/internal/version/bundle"
+)
+
+// Warmer tells how many new flows this balancer may send in any second to an upstream that is slow after its start
+// and bears rate of them from all balancers together.
+type Warmer interface {
+	Share(id bundle.UpstreamID, rate float64) int
+}
+
+// warmupSpan is the time in which flows to a slow upstream are counted, wherever it begins.
+const warmupSpan = time.Second
+
+// pace is when flows were sent to an upstream while it was slow, oldest first.
+type pace struct{ sent []time.Time }
+
+// allows reports whether one more may be sent with at most n in any warmupSpan.
+func (p *pace) allows(n int, now time.Time) bool {
+	for len(p.sent) > 0 && now.Sub(p.sent[0]) >= warmupSpan {
+		p.sent = p.sent[1:]
+	}
+	return len(p.sent) < n
+}
+
+func (p *pace) note(now time.Time) { p.sent = append(p.sent, now) }
+
+// bearsMore reports whether an upstream may get a new flow from this balancer, as far as it is slow after its start:
+// one that gets more than it bears then answers nobody in time, and loses the callers that it was
+// given back.
+func (e *Engine) bearsMore(u *Upstream, now time.Time) bool {
+	rate := u.Route.Service.WarmupRate
+	if rate <= 0 || !now.Before(u.coldUntil) {
+		return true
+	}
+	if e.opts.Warmer == nil {
+		return false
+	}
+	return u.pace.allows(e.opts.Warmer.Share(u.Route.ID, rate), now)
+}
+
+// sentTo notes that a new flow was placed at an upstream.
+func (e *Engine) sentTo(u *Upstream, now time.Time) {
+	if u.Route.Service.WarmupRate > 0 && now.Before(u.coldUntil) {
+		u.pace.note(now)
+	}
+}
--- /dev/null
+++ b/internal/connection/cookie/warmup_test.go
@@ -0,0 +1,80 @@
+package cookie_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/fescueshed/fescueshed/internal/connection/cookie"
+	"github.com/fescueshed/fescueshed/internal/connection/upstream"
+	"github.com/fescueshed/fescueshed/internal/version/bundle"
+	"github.com/fescueshed/fescueshed/internal/version/registry"
+)
+
+// fixedShare is a Warmer that allows so many a second.
+type fixedShare int
+
+func (f fixedShare) Share(bundle.UpstreamID, float64) int { return int(f) }
+
+// A zone is taken back. Its upstreams are cold and bear a few requests a second each; what is sent beyond that is
+// answered late or not at all, though other upstreams have room.
+var _ = Describe("An upstream that is slow after its start", func() {
+	const slowFor = 3 * time.Second
+	// slowEngine returns an engine whose service bears 20 flows a second at each slow upstream, and whose share of
+	// that is given. The first of its upstreams are slow.
+	slowEngine := func(w cookie.Warmer, list []registry.Registration, slow int) *cookie.Engine {
+		GinkgoHelper()
+		for i := range slow {
+			list[i].Warmup = slowFor
+		}
+		e := cookie.NewEngine(cookie.Options{
+			Zone: ownZone, Policy: upstream.NewZoned(ownZone, upstream.DefaultChoices), FlowLifetime: time.Minute, Warmer: w,
+		})
+		b := content()
+		for i := range b.Services {
+			b.Services[i].WarmupRate = 20
+		}
+		e.SetRouting(bundle.NewRouting(1, b, nil), start)
+		setUpstreams(e, list, start)
+		e.Confirm(start)
+		return e
+	}
+	// placed returns how many of so many flows that come each 10 ms from a time on the upstream gets.
+	placed := func(e *cookie.Engine, n int, from time.Time, u bundle.UpstreamID) int {
+		got := 0
+		for i := range n {
+			if id(e.Decide(newCaller(i, feedAt).first(0), from.Add(time.Duration(i)*10*ms))) == u {
+				got++
+			}
+		}
+		return got
+	}
+
+	It("gets no more than this balancer's share in any second", func() {
+		list := registrations(2)
+		e := slowEngine(fixedShare(4), list, 1)
+		Expect(placed(e, 90, start, list[0].ID)).To(BeNumerically("<=", 4))
+	})
+
+	It("gets its load as others do once it isn't slow any more", func() {
+		list := registrations(2)
+		e := slowEngine(fixedShare(4), list, 1)
+		Expect(placed(e, 90, start.Add(slowFor), list[0].ID)).To(BeNumerically(">", 30))
+	})
+
+	It("gets nothing from a balancer that has no share", func() {
+		list := registrations(2)
+		for _, w := range []cookie.Warmer{nil, fixedShare(0)} {
+			e := slowEngine(w, list, 1)
+			Expect(placed(e, 50, start, list[0].ID)).To(BeZero())
+		}
+	})
+
+	It("isn't used beyond that for want of another: the caller is refused at once", func() {
+		list := registrations(1)
+		e := slowEngine(fixedShare(2), list, 1)
+		Expect(placed(e, 50, start, list[0].ID)).To(Equal(2))
+		Expect(e.Decide(newCaller(99, feedAt).first(0), start.Add(500*ms)).Action).To(Equal(cookie.ActionReset))
+	})
+})
--- a/internal/connection/cookie/world_test.go
+++ b/internal/connection/cookie/world_test.go
@@ -30,6 +30,11 @@
 
 // routing leads feedAt to "feed" and sheetsAt to "sheets", but for those left out.
 func routing(v bundle.Version, leaveOut ...netip.AddrPort) *bundle.Routing {
+	return bundle.NewRouting(v, content(leaveOut...), nil)
+}
+
+// content is the bundle of routing.
+func content(leaveOut ...netip.AddrPort) *bundle.Bundle {
 	b := &bundle.Bundle{}
 	for name, at := range map[string]netip.AddrPort{"feed": feedAt, "sheets": sheetsAt} {
 		b.Services = append(b.Services, bundle.Service{
@@ -47,7 +52,7 @@
 		}
 	}
 	Expect(b.Check()).To(Succeed())
-	return bundle.NewRouting(v, b, nil)
+	return b
 }
 
 // routingWith leads feedAt to "feed" and sheetsAt to a service of another name.
--- a/internal/process/carrier/bundle.go
+++ b/internal/process/carrier/bundle.go
@@ -84,6 +84,9 @@
 		if err != nil {
 			return err
 		}
+		if err := a.Bundle.CheckRegions(c.cfg.Load().KnownRegions()); err != nil {
+			return err
+		}
 		routing := bundle.NewRouting(a.Version, a.Bundle, nil)
 		c.mu.Lock()
 		c.known.history.Add(a, step)
--- a/internal/process/carrier/carrier.go
+++ b/internal/process/carrier/carrier.go
@@ -76,6 +76,7 @@
 	// mu guards what follows.
 	mu      sync.Mutex
 	engine  *cookie.Engine
+	warmers *peer.Warmers
 	reading peer.Reading
 	known   knowledge
 	// origin is the daemon whose news were heard last, passed the last news that this
@@ -95,8 +96,11 @@
 		known:    knowledge{catalog: registry.NewCatalog()},
 	}
 	c.start = newStartup(c.started, cfg.FirstStart)
+	c.warmers = peer.NewWarmers(peer.IDOf(cfg.Name), c.started.Add(JoinedAfter))
 	c.engine = cookie.NewEngine(cookie.Options{
+		Warmer:       c.warmers,
 		Zone:         cfg.Zone,
+		Regions:      cfg.Regions,
 		Policy:       upstream.NewZoned(cfg.Zone, upstream.DefaultChoices),
 		FlowLifetime: time.Duration(cfg.FlowLifetime),
 		Answered:     func(took time.Duration) { c.answered.Update(took.Seconds()) },
@@ -209,6 +213,7 @@
 // sweep forgets flows that went and tells the zone what this daemon counts.
 func (c *Carrier) sweep(now time.Time) {
 	c.mu.Lock()
+	c.warmers.See(c.members.view.Load(), now)
 	c.engine.Expire(now)
 	c.mu.Unlock()
 	c.members.tellLoads(now)
@@ -263,6 +268,9 @@
 	}
 	c.platform.Store.SetBase(cfg.Store)
 	c.members.setKeys(keys(cfg))
+	c.mu.Lock()
+	c.engine.SetRegions(cfg.Regions)
+	c.mu.Unlock()
 	c.cfg.Store(cfg)
 	klog.InfoS("Settings in force", "Store", cfg.Store, "Seeds", cfg.Seeds)
 }
--- /dev/null
+++ b/internal/process/carrier/region_test.go
@@ -0,0 +1,41 @@
+package carrier_test
+
+import (
+	"net/netip"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/fescueshed/fescueshed/internal/version/bundle"
+)
+
+// boundBundle is a bundle whose one route is bound to regions.
+func boundBundle(regions ...bundle.Region) *bundle.Bundle {
+	return &bundle.Bundle{
+		Services: []bundle.Service{{
+			Name: "feed", Registered: true, HealthPath: "/healthz", Connections: 10, IdleTimeout: bundle.Duration(time.Minute),
+		}},
+		Routes: []bundle.Route{{
+			Name: "feed", Address: netip.MustParseAddrPort("198.18.0.1:443"), Deadline: bundle.Duration(time.Second),
+			Targets: []bundle.Target{{Service: "feed", Weight: 1}}, Regions: regions,
+		}},
+	}
+}
+
+var _ = Describe("A balancer that knows the regions of zones", func() {
+	// The next bundle binds a route to a region that is mistyped. In force, it would refuse every caller of
+	// that route.
+	It("keeps the bundle in force if the next one names an unknown region", func() {
+		w := newWorld(1)
+		h := w.Hosts[0]
+		h.Regions = `"zone-1": "north", "zone-2": "north", "zone-3": "south"`
+		n := startNode(w, h)
+		Eventually(n.Ready, patience).Should(BeTrue())
+		before := n.Version()
+		w.Store.Accept(before+1, boundBundle("suoth"))
+		Consistently(n.Version, time.Second).Should(Equal(before))
+		w.Store.Accept(before+2, boundBundle("south"))
+		Eventually(n.Version, patience).Should(Equal(before + 2))
+	})
+})
--- a/internal/process/settings/cookie.go
+++ b/internal/process/settings/cookie.go
@@ -3,8 +3,10 @@
 import (
 	"encoding/base64"
 	"fmt"
+	"maps"
 	"net/netip"
 	"net/url"
+	"slices"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -18,6 +20,8 @@
 	// Name identifies the host across restarts.
 	Name string
 	Zone bundle.Zone
+	// Regions holds the region of each zone. Without it, no bundle may bind a route to regions.
+	Regions map[bundle.Zone]bundle.Region
 	// DataAddress takes callers' packets (UDP). Answers go to callers at its port.
 	DataAddress netip.AddrPort
 	// ReadinessAddress tells routers whether to send packets here (HTTP).
@@ -102,6 +106,9 @@
 	if s.Zone == "" {
 		f.Add("Zone", "is missing")
 	}
+	if _, ok := s.Regions[s.Zone]; len(s.Regions) > 0 && !ok {
+		f.Add("Regions", "doesn't have the own zone %q", s.Zone)
+	}
 	checkAddress(f, "DataAddress", s.DataAddress)
 	if !s.DataAddress.Addr().Is4() {
 		f.Add("DataAddress", "is %q, want an IPv4 address: packets carry no other", s.DataAddress)
@@ -159,6 +166,11 @@
 	return s.ControlAddress
 }
 
+// KnownRegions returns the regions of all zones, in order.
+func (s *Cookie) KnownRegions() []bundle.Region {
+	return slices.Compact(slices.Sorted(maps.Values(s.Regions)))
+}
+
 // Print returns the settings as JSON, the secrets left out.
 func (s Cookie) Print() []byte {
 	s.Secret, s.AcceptedSecrets = nil, nil
--- a/internal/standin/metadata/objects.go
+++ b/internal/standin/metadata/objects.go
@@ -37,7 +37,9 @@
 	c := &wire.Config{Version: uint64(v)}
 	for i := range b.Services {
 		o := &b.Services[i]
-		c.Services = append(c.Services, wire.Service{Name: o.Name, HealthPath: o.HealthPath, MaxConns: o.Connections})
+		c.Services = append(c.Services, wire.Service{
+			Name: o.Name, HealthPath: o.HealthPath, MaxConns: o.Connections, WarmupPerS: o.WarmupRate,
+		})
 		c.Limits.IdleTimeoutMs = time.Duration(o.IdleTimeout).Milliseconds()
 	}
 	for i := range b.Routes {
@@ -51,6 +53,9 @@
 		Name: r.Name, Host: r.Address.Addr().String(), PathPrefix: fmt.Sprintf("/%d/", r.Address.Port()),
 		Kind: wire.RouteUnsafe, TimeoutMs: time.Duration(r.Deadline).Milliseconds(),
 	}
+	for _, region := range r.Regions {
+		out.AllowedRegions = append(out.AllowedRegions, string(region))
+	}
 	for _, t := range r.Targets {
 		out.TrafficSplit = append(out.TrafficSplit, wire.Share{Service: t.Service, Weight: t.Weight})
 	}
--- a/internal/standin/world/world.go
+++ b/internal/standin/world/world.go
@@ -106,7 +106,9 @@
 	CPUShare float64
 	// FirstStart says that the whole system starts for the first time.
 	FirstStart bool
-	route      *flows.Host
+	// Regions are those of zones, as they stand in settings, if there are any.
+	Regions string
+	route   *flows.Host
 	// peers is what other daemons' connections pass.
 	peers *Proxy
 }
@@ -401,11 +403,11 @@
 	}
 	at := func(port uint16) string { return strconv.Quote(netip.AddrPortFrom(h.IP, port).String()) }
 	return fmt.Sprintf(`{
-  "Name": %q, "Zone": %q, "CPUShare": %g, "FirstStart": %t, "Seeds": [%s],
+  "Name": %q, "Zone": %q, "Regions": {%s}, "CPUShare": %g, "FirstStart": %t, "Seeds": [%s],
   "DataAddress": %s, "ReadinessAddress": %s, "ControlAddress": %s, "AnnouncedAddress": %s, "MetricsAddress": %s,
   "Store": "http://%s", "Secret": "c2VjcmV0IG9mIHRoZSB3b3JsZA==",
 }
-`, h.Name, h.Zone, cmp.Or(h.CPUShare, 1), h.FirstStart, seeds,
+`, h.Name, h.Zone, h.Regions, cmp.Or(h.CPUShare, 1), h.FirstStart, seeds,
 		at(w.ports.Data), at(w.ports.Ready), at(w.ports.Control), at(w.ports.Peers), at(w.ports.Metrics),
 		netip.AddrPortFrom(h.IP, w.ports.Proxy))
 }
--- a/internal/version/bundle/bundle.go
+++ b/internal/version/bundle/bundle.go
@@ -54,6 +54,9 @@
 	HealthPath string
 	// Connections is how many flows each registered upstream holds at most.
 	Connections int
+	// WarmupRate is how many new flows a second each registered upstream bears from all balancers together while
+	// it is slow after its start. Zero leaves that to the load alone.
+	WarmupRate float64 `json:",omitempty"`
 }
 
 // Upstream is one back end of a service.
--- a/internal/version/bundle/bundle_test.go
+++ b/internal/version/bundle/bundle_test.go
@@ -63,6 +63,23 @@
 	})
 })
 
+// An operator mistypes a region. If the bundle came into force, every caller of that route would be refused.
+var _ = Describe("A bundle's regions", func() {
+	b := &bundle.Bundle{Routes: []bundle.Route{{Regions: []bundle.Region{"north"}}, {Regions: []bundle.Region{"north", "suoth"}}}}
+
+	It("are reported with their place if they are unknown", func() {
+		err := b.CheckRegions([]bundle.Region{"north", "south"})
+		Expect(err).To(MatchError(ContainSubstring(`Routes[1].Regions[1]: "suoth" is unknown; known regions: [north south]`)))
+		Expect(b.CheckRegions([]bundle.Region{"north", "suoth"})).To(Succeed())
+	})
+
+	It("make routes differ", func() {
+		changed := *b
+		changed.Routes = append([]bundle.Route{{}}, b.Routes[1:]...)
+		Expect(changed.Digest()).NotTo(Equal(b.Digest()))
+	})
+})
+
 var _ = Describe("Signed", func() {
 	public, private, _ := ed25519.GenerateKey(zeros{})
 	trusted := []bundle.Operator{{Name: "approver", Key: public}}
--- a/internal/version/bundle/route.go
+++ b/internal/version/bundle/route.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/netip"
+	"slices"
 )
 
 // Route leads new flows to one of several registered services. Open flows stay
@@ -21,6 +22,8 @@
 	Objective Duration
 	// Priority orders routes when not all can be served; 0 is the highest.
 	Priority int
+	// Regions are those whose upstreams may get its flows, all if there are none.
+	Regions []Region
 }
 
 // Target is a service that a Route leads to, with its share of the new flows.
@@ -52,6 +55,9 @@
 	if s.Connections < 1 {
 		c.findings.Add(path+".Connections", "is %d, want at least 1", s.Connections)
 	}
+	if s.WarmupRate < 0 {
+		c.findings.Add(path+".WarmupRate", "is %v, want at least 0", s.WarmupRate)
+	}
 	c.routable[s.Name] = true
 }
 
@@ -86,6 +92,20 @@
 	}
 }
 
+// CheckRegions reports as a *hujson.FindingsError each route that names a region which isn't among those known: a
+// mistyped one would be refused to every caller.
+func (b *Bundle) CheckRegions(known []Region) error {
+	f := newFindings()
+	for i := range b.Routes {
+		for j, r := range b.Routes[i].Regions {
+			if !slices.Contains(known, r) {
+				f.Add(fmt.Sprintf("Routes[%d].Regions[%d]", i, j), "%q is unknown; known regions: %v", r, known)
+			}
+		}
+	}
+	return f.Err()
+}
+
 // Accepted is a bundle that the platform has accepted, which counts as signed off.
 type Accepted struct {
 	Version Version
--- a/internal/version/bundle/routing.go
+++ b/internal/version/bundle/routing.go
@@ -30,6 +30,14 @@
 	Targets   []RouteTarget
 	// Weight is the sum of the targets' weights.
 	Weight uint64
+	// Regions are those whose upstreams may get its flows, all if there are none.
+	Regions []Region
+}
+
+// Allows reports whether upstreams of a region may get the route's flows. Those whose region isn't known
+// may only if every region's may.
+func (r *CallerRoute) Allows(region Region) bool {
+	return len(r.Regions) == 0 || slices.Contains(r.Regions, region)
 }
 
 // RouteTarget is a service of a CallerRoute with its weight.
@@ -62,9 +70,10 @@
 	Upstreams   []*UpstreamRoute
 	IdleTimeout time.Duration
 	Deadline    time.Duration
-	// HealthPath and Connections are set for registered services only.
+	// HealthPath, Connections and WarmupRate are set for registered services only.
 	HealthPath  string
 	Connections int
+	WarmupRate  float64
 }
 
 // UpstreamRoute is one upstream of a Routing.
@@ -117,6 +126,7 @@
 		Deadline:    time.Duration(s.Deadline),
 		HealthPath:  s.HealthPath,
 		Connections: s.Connections,
+		WarmupRate:  s.WarmupRate,
 	}
 	if s.Registered {
 		t.named[s.Name] = r
@@ -144,7 +154,7 @@
 func (t *Routing) addRoute(r *Route) {
 	c := &CallerRoute{
 		Name: r.Name, Idempotent: r.Idempotent, Objective: time.Duration(r.Objective),
-		Targets: make([]RouteTarget, 0, len(r.Targets)),
+		Targets: make([]RouteTarget, 0, len(r.Targets)), Regions: r.Regions,
 	}
 	for _, target := range r.Targets {
 		w := uint64(target.Weight)
--- a/internal/version/bundle/units.go
+++ b/internal/version/bundle/units.go
@@ -19,6 +19,9 @@
 // Zone names an availability zone.
 type Zone string
 
+// Region names a region, which holds availability zones.
+type Region string
+
 // Version orders bundles. It grows with each roll and never shrinks.
 type Version uint64
 
--- a/internal/version/bundle/update.go
+++ b/internal/version/bundle/update.go
@@ -151,7 +151,8 @@
 
 func (r *Route) equal(o *Route) bool {
 	return r.Name == o.Name && r.Address == o.Address && r.Idempotent == o.Idempotent && r.Deadline == o.Deadline &&
-		r.Objective == o.Objective && r.Priority == o.Priority && slices.Equal(r.Targets, o.Targets)
+		r.Objective == o.Objective && r.Priority == o.Priority && slices.Equal(r.Targets, o.Targets) &&
+		slices.Equal(r.Regions, o.Regions)
 }
 
 // Digest tells bundles apart by their content, in whatever order that stands.
@@ -200,5 +201,11 @@
 		text(t.Service)
 		b = binary.AppendVarint(b, int64(t.Weight))
 	}
+	if len(r.Regions) > 0 {
+		b = binary.AppendUvarint(b, uint64(len(r.Regions)))
+		for _, region := range r.Regions {
+			text(string(region))
+		}
+	}
 	return b
 }
