cookie, carrier: a zone whose upstreams all fall silent is found out by a check elsewhere and by several connections left open

Each of its 30 hosts has a flow or two at each and hears nobody any more, and then doubts nobody, since its own link might be full; copies of first packets and new flows go on to the silent zone until the entries lapse, 3.6 s later. Change, one decision (when silence of a zone's upstreams is concluded): a host that hears nobody connects to an upstream of another zone; if that accepts, those that left packets unanswered are doubted and new flows avoid the zone. If three or more listed upstreams of a zone leave a connection open for a quarter of the time-out, their reference accepts after that, the system says that the connections still wait, and nobody of the zone shows a sign of life meanwhile, they are dead at once and the zone's others with flows are looked at. Ways: as it stood; doubting though nobody is heard (two tests of a full link of the own host fail, rightly); the above. Emulator: probes have references and may be left open; evacuations among its events (pattern evacuation: the other zones bear it, nothing shed).

--- a/internal/connection/cookie/engine.go
+++ b/internal/connection/cookie/engine.go
@@ -42,11 +42,15 @@
 	steady    steadiness
 	// heard is when any upstream last showed a sign of life.
 	heard time.Time
+	// unsure are upstreams that left packets unanswered while nobody was heard, nextCheck when it may next be
+	// found out whose trouble that is.
+	unsure    []*Upstream
+	nextCheck time.Time
 	// turned is when the windows of outcomes last turned.
 	turned  time.Time
 	busy    map[string]busyness
 	zones   map[zoneService]zoneLoad
-	reaches map[bundle.Zone]reach
+	reaches map[bundle.Zone]*reach
 	// evacuated holds since when zones are evacuated.
 	evacuated  map[bundle.Zone]time.Time
 	candidates []upstream.Candidate
@@ -80,7 +84,7 @@
 		unknown:   make(map[Cookie]time.Time),
 		busy:      make(map[string]busyness),
 		zones:     make(map[zoneService]zoneLoad),
-		reaches:   make(map[bundle.Zone]reach),
+		reaches:   make(map[bundle.Zone]*reach),
 		requests:  make(map[string]*Requests),
 		Board:     upstream.NewBoard(),
 	}
@@ -196,6 +200,7 @@
 	u.listed, u.entry, u.strange = true, *r, nil
 	e.table.forgetCookie(u)
 	u.Route = e.upstreamRoute(r)
+	u.reach = e.reachOf(r.Zone)
 	e.table.nameCookie(u)
 	e.table.add(u)
 }
--- a/internal/connection/cookie/flow.go
+++ b/internal/connection/cookie/flow.go
@@ -72,12 +72,14 @@
 	f.answered()
 }
 
-// asked counts a request in progress.
-func (f *flow) asked(now time.Time) {
-	if !f.busy {
-		f.busy, f.overdue, f.askedAt = true, false, now
-		f.up.load.Requests.Add(1)
+// asked counts a request in progress. It reports whether it is a new one.
+func (f *flow) asked(now time.Time) bool {
+	if f.busy {
+		return false
 	}
+	f.busy, f.overdue, f.askedAt = true, false, now
+	f.up.load.Requests.Add(1)
+	return true
 }
 
 func (f *flow) answered() {
--- a/internal/connection/cookie/load.go
+++ b/internal/connection/cookie/load.go
@@ -90,46 +90,13 @@
 	}
 }
 
-// reach is what this balancer saw of its way to another zone.
-type reach struct {
-	// heard is when an upstream there last showed a sign of life, doubted until when the
-	// zone may be cut off.
-	heard, doubted time.Time
-}
-
-// zoneDoubtFor is how long no new flow goes to a zone that may be cut off: as long as the
-// word that it had room may still come from members that heard it before.
-const zoneDoubtFor = 2 * time.Second
-
-// doubtZone notes that a first packet to another zone went unanswered. If nothing was heard
-// from there meanwhile, the zone may be cut off. Its reports say so only seconds later, and a
-// flow that is placed there waits 200 ms for its copy: in a cut that comes with a burst that
-// was two thirds of all answers that came late.
-func (e *Engine) doubtZone(z bundle.Zone, now time.Time) {
-	if z == e.opts.Zone {
-		return
-	}
-	r := e.reaches[z]
-	if now.Sub(r.heard) >= aliveFor {
-		r.doubted = now.Add(zoneDoubtFor)
-		e.reaches[z] = r
-	}
-}
-
-// zoneHeard notes a sign of life from another zone.
-func (e *Engine) zoneHeard(z bundle.Zone, now time.Time) {
-	if z != e.opts.Zone {
-		e.reaches[z] = reach{heard: now}
-	}
-}
-
 // zoneFlows returns how many flows the upstream's zone holds for each slot, -1 if
 // that isn't known or the zone may be cut off, 0 for the own zone.
 func (e *Engine) zoneFlows(u *Upstream, now time.Time) float64 {
 	if u.Route.Zone == e.opts.Zone {
 		return 0
 	}
-	if now.Before(e.reaches[u.Route.Zone].doubted) {
+	if u.reach.isDoubted(now) {
 		return -1
 	}
 	l, ok := e.zones[zoneService{zone: u.Route.Zone, service: u.Route.Service.Name}]
--- a/internal/connection/cookie/open.go
+++ b/internal/connection/cookie/open.go
@@ -23,15 +23,14 @@
 	f.copies = p.Copy
 	f.last = now
 	// An upstream that answers other flows lost a packet of this one. Any other may
-	// be dead or full, and waiting for a second copy would cost 400 ms more: 3 of 100
-	// requests of 40 s in which a quarter of the upstreams falls silent are late or lost by it
-	// (docs/FURTHER.md, ablation). If no upstream is heard, the trouble is this host's, and another
-	// upstream would be as silent.
+	// be dead or full, and waiting for a second copy would cost 400 ms more. If no upstream is heard, the
+	// trouble may be this host's, and another upstream would be as silent.
 	if f.up.usable() && (now.Sub(f.up.heard) < aliveFor || now.Sub(e.heard) >= aliveFor) {
+		e.unanswered(f.up, now)
 		return Verdict{Action: ActionForward, Cause: CauseRepeated, Upstream: f.up}
 	}
 	e.unanswered(f.up, now)
-	e.doubtZone(f.up.Route.Zone, now)
+	f.up.reach.doubt(now)
 	return e.placeAgain(p, f, r, now)
 }
 
@@ -128,7 +127,7 @@
 // it may for want of a better one: where the upstream is doubted or left out.
 func (u *Upstream) eligible(suspected bool, now time.Time) bool {
 	if !suspected {
-		return u.takes(now)
+		return u.takes(now) && !u.reach.isDoubted(now)
 	}
 	return u.readable() && !u.Route.Drain && !u.shadowed && u.health != HealthDead
 }
--- /dev/null
+++ b/internal/connection/cookie/silence.go
@@ -0,0 +1,192 @@
+package cookie
+
+import (
+	"slices"
+	"time"
+
+	"github.com/fescueshed/fescueshed/internal/connection/peer"
+	"github.com/fescueshed/fescueshed/internal/version/bundle"
+)
+
+// reach is what this balancer saw of its way to a zone, its own among them.
+type reach struct {
+	// heard is when an upstream there last showed a sign of life, doubted until when the
+	// zone may be cut off or have lost its upstreams.
+	heard, doubted time.Time
+	// lost is when several of its upstreams were found dead together, zero if one was heard since.
+	lost time.Time
+}
+
+const (
+	// zoneDoubtFor is how long no new flow goes to a zone that may be cut off: as long as the
+	// word that it had room may still come from members that heard it before.
+	zoneDoubtFor = 2 * time.Second
+	// silentTogether is how many upstreams of a zone must leave a connection unaccepted at once for it to count as
+	// lost at the first attempt. One or two may be busy, or a packet of each may be lost.
+	silentTogether = 3
+)
+
+// reachOf returns what is known of the way to a zone.
+func (e *Engine) reachOf(z bundle.Zone) *reach {
+	r := e.reaches[z]
+	if r == nil {
+		r = &reach{}
+		e.reaches[z] = r
+	}
+	return r
+}
+
+// doubt notes that a first packet to the zone went unanswered. If nothing was heard from there meanwhile, the zone may
+// be cut off or have lost its upstreams. Reports of another zone say so only seconds later, the list of the own
+// one too, and a flow that is placed there waits 200 ms for its copy.
+func (r *reach) doubt(now time.Time) {
+	if now.Sub(r.heard) >= aliveFor {
+		r.doubted = now.Add(zoneDoubtFor)
+	}
+}
+
+// isDoubted reports whether the zone may be cut off or have lost its upstreams.
+func (r *reach) isDoubted(now time.Time) bool { return now.Before(r.doubted) }
+
+// hear notes a sign of life from the zone.
+func (r *reach) hear(now time.Time) { *r = reach{heard: now} }
+
+// unanswered notes that a caller repeated a packet that went to an upstream. It says nothing while no upstream at all is
+// heard: then this host may be slow or cut off, or its link full. It may also be that its flows are all in a zone whose
+// upstreams fell silent together; an upstream of another zone shows which it is.
+func (e *Engine) unanswered(u *Upstream, now time.Time) {
+	if u.health != HealthGood || !u.silent(now) {
+		return
+	}
+	if now.Sub(e.heard) < aliveFor {
+		u.doubt(now)
+		return
+	}
+	if len(e.unsure) < silentTogether && !slices.Contains(e.unsure, u) {
+		e.unsure = append(e.unsure, u)
+	}
+}
+
+// check returns an upstream of another zone that is to show whether this host reaches anybody, if that is in
+// question now.
+func (e *Engine) check(now time.Time) (Probe, bool) {
+	if len(e.unsure) == 0 || now.Before(e.nextCheck) {
+		return Probe{}, false
+	}
+	e.nextCheck = now.Add(unsurePause)
+	r := e.reference(e.unsure[0], now)
+	if r == nil || r.Zone == e.unsure[0].Route.Zone {
+		return Probe{}, false
+	}
+	return Probe{Upstream: r, Check: true}, true
+}
+
+// Checked takes in whether the upstream of a Probe that was a check accepted a connection quickly. If it did, the host
+// is well, and those that left packets unanswered are doubted.
+func (e *Engine) Checked(accepted bool, now time.Time) {
+	list := e.unsure
+	e.unsure = nil
+	if !accepted {
+		return
+	}
+	e.heard = now
+	for _, u := range list {
+		if u.health == HealthGood && u.silent(now) {
+			u.doubt(now)
+			u.reach.doubt(now)
+		}
+	}
+}
+
+// Unaccepted takes in that a probe which was sent at a time isn't accepted yet, though its reference was at once. It
+// returns the upstreams that are found dead by it, and resets for their flows.
+//
+// All upstreams of a zone may fall silent together: its power is lost, or the way there. Each for
+// itself is found dead only by a second time-out; until then callers wait on its flows, and others send
+// requests there that can't be repeated. If several leave a connection open at once, and nobody of
+// the zone shows a sign of life meanwhile, that is no chance of one packet or one busy upstream, and the
+// reference shows that it isn't this host. Upstreams that left the list don't count: a rolling
+// replacement ends several of them together. The zone's others that callers have flows at are looked at then, and
+// for a while one that leaves its connection open is dead like them.
+func (e *Engine) Unaccepted(id bundle.UpstreamID, sent, now time.Time) ([]bundle.UpstreamID, []Reset) {
+	u := e.upstreams[id]
+	if u == nil || sent.Before(u.since) || u.health == HealthDead || u.heard.After(sent) {
+		return nil, nil
+	}
+	u.unaccepted = sent
+	if !u.listed || u.reach.heard.After(sent) {
+		return nil, nil
+	}
+	silent := e.unacceptedIn(u.reach)
+	if len(silent) < silentTogether && now.Sub(u.reach.lost) > zoneDoubtFor {
+		return nil, nil
+	}
+	u.reach.lost = now
+	dead := make(map[*Upstream]bool, len(silent))
+	found := make([]bundle.UpstreamID, 0, len(silent))
+	for _, s := range silent {
+		found = append(found, s.Route.ID)
+		s.health = HealthDead
+		s.nextProbe = now.Add(reprobeAfter)
+		dead[s] = true
+	}
+	u.reach.doubt(now)
+	e.doubtOthers(u.reach, now)
+	return found, e.endAt(dead)
+}
+
+// unacceptedIn returns the doubted upstreams of a zone that left a probe unaccepted.
+func (e *Engine) unacceptedIn(r *reach) []*Upstream {
+	var out []*Upstream
+	for _, u := range e.upstreams {
+		if u.reach == r && u.listed && u.health == HealthSuspect && !u.unaccepted.IsZero() {
+			out = append(out, u)
+		}
+	}
+	return out
+}
+
+// doubtOthers asks for a probe of each upstream of a zone that callers have flows at.
+func (e *Engine) doubtOthers(r *reach, now time.Time) {
+	for _, u := range e.upstreams {
+		if u.reach == r && u.listed && u.flows > 0 && u.health == HealthGood {
+			u.doubt(now)
+		}
+	}
+}
+
+// endAt ends the flows of upstreams that were found dead.
+func (e *Engine) endAt(dead map[*Upstream]bool) []Reset {
+	var out []Reset
+	for k, f := range e.flows {
+		if dead[f.up] {
+			out = append(out, e.end(k, f, deadCause(f.up)))
+		}
+	}
+	return out
+}
+
+// reference returns the upstream that shows whether a probe of u that goes unanswered is this host's trouble: the one
+// that was heard last. If nobody of u's zone was heard lately, it is one of another zone, since the
+// whole zone may be silent; among those that weren't heard either, u and the time draw one.
+func (e *Engine) reference(not *Upstream, now time.Time) *bundle.UpstreamRoute {
+	silentZone := now.Sub(not.reach.heard) >= aliveFor
+	var best *Upstream
+	var bestDraw uint64
+	for _, u := range e.upstreams {
+		if u == not || !u.listed || u.health != HealthGood || e.isEvacuated(u) {
+			continue
+		}
+		if silentZone && u.reach == not.reach {
+			continue
+		}
+		draw := peer.Mix(uint64(u.Route.ID) ^ uint64(not.Route.ID) ^ uint64(now.UnixNano()))
+		if best == nil || u.heard.After(best.heard) || u.heard.Equal(best.heard) && draw > bestDraw {
+			best, bestDraw = u, draw
+		}
+	}
+	if best == nil {
+		return nil
+	}
+	return best.Route
+}
--- a/internal/connection/cookie/upstream.go
+++ b/internal/connection/cookie/upstream.go
@@ -61,6 +61,8 @@
 	Route  *bundle.UpstreamRoute
 	Cookie Cookie
 	load   *upstream.Load
+	// reach is what is known of the way to its zone.
+	reach *reach
 	// entry is the latest entry of the list that could be used, Unusable if the present one
 	// can't be.
 	entry registry.Registration
@@ -89,8 +91,11 @@
 	// probes are those under way, the last one sent at lastProbe.
 	probes    int
 	lastProbe time.Time
-	nextProbe time.Time
-	timeouts  int
+	// unaccepted is when the last probe was sent that wasn't accepted at once, zero if none was since the
+	// upstream is doubted.
+	unaccepted time.Time
+	nextProbe  time.Time
+	timeouts   int
 	// outcomes are those of requests that passed this balancer. Until ejected, the
 	// upstream gets no new flow, since it failed too many over the zone.
 	outcomes  outcomes
@@ -132,7 +137,7 @@
 func (u *Upstream) doubt(now time.Time) {
 	u.health = HealthSuspect
 	u.nextProbe = now
-	u.timeouts, u.refused = 0, false
+	u.timeouts, u.refused, u.unaccepted = 0, false, time.Time{}
 }
 
 // probeDue reports whether a probe is to be sent now.
@@ -177,6 +182,7 @@
 	case r == ProbeAlive:
 		u.health, u.timeouts, u.checked, u.refused = HealthGood, 0, now, false
 	case r == ProbeUnsure:
+		u.unaccepted = time.Time{} // Its reference was as slow.
 		u.nextProbe = now.Add(unsurePause)
 	case r == ProbeRefused && u.Route.Drain && !u.refused:
 		u.refused = true
--- a/internal/connection/cookie/watch.go
+++ b/internal/connection/cookie/watch.go
@@ -42,30 +42,23 @@
 
 // alive notes a sign of life of an upstream.
 func (e *Engine) alive(u *Upstream, now time.Time) {
-	e.heard = now
-	e.zoneHeard(u.Route.Zone, now)
+	e.heard, e.unsure = now, nil
+	u.reach.hear(now)
 	u.alive(now)
 }
 
-// unanswered notes that a caller repeated a packet that went to an upstream. Without this and the
-// probes, 5 to 20 requests of 1,000 are lost or late in 40 s in which upstreams fall silent
-// (docs/FURTHER.md, ablation). It says nothing while no upstream at all is heard: then this host is slow or cut off,
-// or its link is full.
-func (e *Engine) unanswered(u *Upstream, now time.Time) {
-	if u.health == HealthGood && u.silent(now) && now.Sub(e.heard) < aliveFor {
-		u.doubt(now)
-	}
-}
-
 // Probe is a request to look whether an upstream lives.
 type Probe struct {
 	Upstream *bundle.UpstreamRoute
 	// Listed is false for an upstream that the list no longer has.
 	Listed bool
-	// Reference is another upstream, one that was heard lately, to be probed at the
-	// same time: if it doesn't answer quickly either, the trouble is on this host's
+	// Reference is another upstream, one that was heard lately, to be probed while the
+	// probe waits: if it doesn't answer quickly either, the trouble is on this host's
 	// side and a time-out shows nothing. It is nil if there is none.
 	Reference *bundle.UpstreamRoute
+	// Check says that the upstream isn't doubted: whether it accepts a connection quickly shows
+	// whether this host reaches anybody.
+	Check bool
 }
 
 // UpstreamLoad is a listed upstream with what this balancer counts there.
@@ -86,9 +79,12 @@
 }
 
 // DueProbes returns the upstreams that are to be probed now. Each must be
-// answered by Probed.
+// answered by Probed, a check by Checked.
 func (e *Engine) DueProbes(now time.Time) []Probe {
 	var out []Probe
+	if check, ok := e.check(now); ok {
+		out = append(out, check)
+	}
 	for _, u := range e.upstreams {
 		if u.flows == 0 && e.isEvacuated(u) {
 			continue // Nobody waits for what it would find, and nothing is to be sent there.
@@ -96,29 +92,12 @@
 		if u.probeDue(now) {
 			u.probes++
 			u.lastProbe = now
-			out = append(out, Probe{Upstream: u.Route, Listed: u.listed, Reference: e.reference(u)})
+			out = append(out, Probe{Upstream: u.Route, Listed: u.listed, Reference: e.reference(u, now)})
 		}
 	}
 	return out
 }
 
-// reference returns the upstream that was heard last, the doubted one left out.
-func (e *Engine) reference(not *Upstream) *bundle.UpstreamRoute {
-	var best *Upstream
-	for _, u := range e.upstreams {
-		if u == not || !u.listed || u.health != HealthGood || e.isEvacuated(u) {
-			continue
-		}
-		if best == nil || u.heard.After(best.heard) {
-			best = u
-		}
-	}
-	if best == nil {
-		return nil
-	}
-	return best.Route
-}
-
 // Probed takes in what a probe that was sent at a time found. It returns resets
 // for the flows of an upstream that is found dead, so that their callers come back
 // before an idle flow carries a request that can't be repeated.
@@ -131,16 +110,16 @@
 func (e *Engine) Probed(id bundle.UpstreamID, r ProbeResult, sent, now time.Time) []Reset {
 	u := e.upstreams[id]
 	// A probe that was sent to the former incarnation says nothing of the present one.
-	if u == nil || sent.Before(u.since) || !u.probed(r, sent, now) {
+	if u == nil || sent.Before(u.since) {
 		return nil
 	}
-	var out []Reset
-	for k, f := range e.flows {
-		if f.up == u {
-			out = append(out, e.end(k, f, deadCause(u)))
-		}
+	if r == ProbeAlive {
+		u.reach.hear(now)
 	}
-	return out
+	if !u.probed(r, sent, now) {
+		return nil
+	}
+	return e.endAt(map[*Upstream]bool{u: true})
 }
 
 // Hint notes that another balancer found an upstream dead. It is looked at, not
@@ -207,7 +186,7 @@
 // names it is taken for one of an upstream that nobody knows.
 func (e *Engine) unlisted(id bundle.UpstreamID, at netip.AddrPort, now time.Time) *Upstream {
 	u := &Upstream{
-		Cookie: Of(id), load: e.Board.Load(id), goneAt: now,
+		Cookie: Of(id), load: e.Board.Load(id), goneAt: now, reach: e.reachOf(""),
 		Route: &bundle.UpstreamRoute{ID: id, Address: at, Service: &bundle.ServiceRoute{}},
 	}
 	e.upstreams[id] = u
--- a/internal/connection/peer/member.go
+++ b/internal/connection/peer/member.go
@@ -69,7 +69,7 @@
 // Tag tells whether a record was given to this run of the member: a restarted
 // host has lost what its predecessor was told.
 func (m *Member) Tag() uint32 {
-	tag := uint32(mix(uint64(m.ID) ^ m.Boot))
+	tag := uint32(Mix(uint64(m.ID) ^ m.Boot))
 	if tag == 0 {
 		return 1
 	}
@@ -78,11 +78,11 @@
 
 // digest is the member's part of the digest of a membership.
 func (m *Member) digest() uint64 {
-	return mix(uint64(m.ID) ^ mix(m.Boot^mix(uint64(m.Incarnation)^uint64(m.State)<<56)))
+	return Mix(uint64(m.ID) ^ Mix(m.Boot^Mix(uint64(m.Incarnation)^uint64(m.State)<<56)))
 }
 
-// mix spreads the bits of x: the finalizer of SplitMix64.
-func mix(x uint64) uint64 {
+// Mix spreads the bits of x: the finalizer of SplitMix64.
+func Mix(x uint64) uint64 {
 	x ^= x >> 30
 	x *= 0xbf58476d1ce4e5b9
 	x ^= x >> 27
--- a/internal/connection/peer/view.go
+++ b/internal/connection/peer/view.go
@@ -16,7 +16,7 @@
 
 // score ranks a member for a flow (rendezvous hashing): the highest comes first.
 func score(h FlowHash, id ID) uint64 {
-	return mix(uint64(h) ^ uint64(id))
+	return Mix(uint64(h) ^ uint64(id))
 }
 
 // View is what one daemon knows of the members at one moment. It doesn't change
@@ -127,7 +127,7 @@
 // Placer returns the member that chooses the upstreams for the new flows of a
 // service, so that one place knows all of them.
 func (v *View) Placer(s bundle.VNI) *Member {
-	return v.Home(FlowHash(mix(uint64(s) ^ placerSalt)))
+	return v.Home(FlowHash(Mix(uint64(s) ^ placerSalt)))
 }
 
 // Replica returns the member of zone z that keeps a copy of a flow's record, so
--- a/internal/process/carrier/loads.go
+++ b/internal/process/carrier/loads.go
@@ -166,11 +166,12 @@
 	}
 }
 
-// tellFound tells the zone at once of an upstream that was found dead: the others
-// would find out by requests that fail.
-func (m *members) tellFound(id bundle.UpstreamID) {
+// tellFound tells the zone at once of upstreams that were found dead: the others
+// would find out by requests that fail. It tells as many as one message holds: where more fall silent together, the
+// others have found some by themselves.
+func (m *members) tellFound(ids []bundle.UpstreamID) {
 	v := m.view.Load()
-	r := &peer.Report{From: v.Self, Found: true, Dead: []bundle.UpstreamID{id}, Stamp: m.stamp.Add(1)}
+	r := &peer.Report{From: v.Self, Found: true, Dead: ids[:min(len(ids), peer.MaxDead)], Stamp: m.stamp.Add(1)}
 	send(m, protocolReport, m.reports, r, v.Audience(true))
 }
 
--- a/internal/process/carrier/probe.go
+++ b/internal/process/carrier/probe.go
@@ -10,6 +10,7 @@
 	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
 	"k8s.io/klog/v2"
 
 	"github.com/fescueshed/fescueshed/internal/connection/cookie"
@@ -46,7 +47,11 @@
 func (p *probes) probe(pr cookie.Probe) {
 	sent := time.Now()
 	p.sent.Add(1)
-	r := p.ask(pr)
+	if pr.Check {
+		p.check(pr.Upstream)
+		return
+	}
+	r := p.ask(pr, sent)
 	now := time.Now()
 	p.c.probed.Update(now.Sub(sent).Seconds())
 	c := p.c
@@ -57,7 +62,7 @@
 	c.mu.Unlock()
 	c.data.resets(resets)
 	if after == cookie.HealthDead && before != after && pr.Listed {
-		c.members.tellFound(pr.Upstream.ID)
+		c.members.tellFound([]bundle.UpstreamID{pr.Upstream.ID})
 	}
 	if before != after {
 		klog.InfoS("Upstream probed", "Upstream", pr.Upstream.Address, "ID", pr.Upstream.ID, "Listed", pr.Listed,
@@ -65,16 +70,28 @@
 	}
 }
 
+// check looks whether this host reaches an upstream.
+func (p *probes) check(u *bundle.UpstreamRoute) {
+	accepted := p.quick(u)
+	now := time.Now()
+	p.c.mu.Lock()
+	p.c.engine.Checked(accepted, now)
+	due := p.c.engine.DueProbes(now)
+	p.c.mu.Unlock()
+	klog.InfoS("Nobody was heard, an upstream of another zone was asked",
+		"Upstream", u.Address, "Zone", u.Zone, "Accepted", accepted, "ProbedNext", len(due))
+	p.send(due)
+}
+
 // ask connects to the upstream and asks for its health. The connection alone shows
 // that something listens there; the answer shows which upstream it is.
-func (p *probes) ask(pr cookie.Probe) cookie.ProbeResult {
-	reference := make(chan bool, 1)
-	go func() { reference <- p.quick(pr.Reference) }()
-	conn, err := p.dial(pr.Upstream)
+func (p *probes) ask(pr cookie.Probe, sent time.Time) cookie.ProbeResult {
+	a := &attempt{p: p, pr: pr, sent: sent, referred: make(chan struct{})}
+	conn, err := p.dial(pr.Upstream, a.begins)
 	switch {
 	case errors.Is(err, syscall.ECONNREFUSED):
 		return cookie.ProbeRefused
-	case err != nil && <-reference:
+	case err != nil && a.reference():
 		return cookie.ProbeTimeout
 	case err != nil:
 		return cookie.ProbeUnsure
@@ -82,10 +99,79 @@
 	return p.identify(conn, pr)
 }
 
-func (p *probes) dial(u *bundle.UpstreamRoute) (net.Conn, error) {
+// attempt is one connection to a doubted upstream. If it isn't accepted for a while, another upstream is connected
+// to, which shows whether that is this host's trouble.
+type attempt struct {
+	p    *probes
+	pr   cookie.Probe
+	sent time.Time
+	// referred is closed once quick is known, see reference.
+	referred chan struct{}
+	quick    bool
+	once     sync.Once
+}
+
+// unacceptedPart is the part of the time-out for which a connection is left open before another upstream is asked.
+const unacceptedPart = 4
+
+// begins is called just before the attempt's first packet goes out.
+func (a *attempt) begins(conn syscall.RawConn) {
+	timeout := time.Duration(a.p.c.cfg.Load().ProbeTimeout)
+	time.AfterFunc(timeout/unacceptedPart, func() {
+		if a.p.ctx.Err() == nil && waits(conn) && a.reference() && waits(conn) {
+			a.p.unaccepted(a.pr, a.sent)
+		}
+	})
+}
+
+// waits reports whether a connection isn't accepted yet. It asks the system: on a host that is short of processor time,
+// what was accepted long ago may not have been read, while the answer of a reference that came later has.
+func waits(conn syscall.RawConn) bool {
+	waiting := false
+	err := conn.Control(func(fd uintptr) {
+		_, err := unix.Getpeername(int(fd))
+		waiting = errors.Is(err, unix.ENOTCONN)
+	})
+	return err == nil && waiting // It was closed otherwise: the attempt is over.
+}
+
+// reference reports whether another upstream accepts a connection quickly. It is asked once.
+func (a *attempt) reference() bool {
+	a.once.Do(func() {
+		a.quick = a.p.quick(a.pr.Reference)
+		close(a.referred)
+	})
+	<-a.referred
+	return a.quick
+}
+
+// unaccepted tells that a probe is left open, though its reference was accepted.
+func (p *probes) unaccepted(pr cookie.Probe, sent time.Time) {
+	now := time.Now()
+	c := p.c
+	c.mu.Lock()
+	found, resets := c.engine.Unaccepted(pr.Upstream.ID, sent, now)
+	due := c.engine.DueProbes(now)
+	c.mu.Unlock()
+	c.data.resets(resets)
+	p.send(due)
+	if len(found) > 0 {
+		c.members.tellFound(found)
+		klog.InfoS("Upstreams of a zone are silent", "Zone", pr.Upstream.Zone, "Upstreams", len(found), "FlowsReset", len(resets),
+			"ProbedNext", len(due))
+	}
+}
+
+// dial connects to an upstream. begins is called just before, it may be nil.
+func (p *probes) dial(u *bundle.UpstreamRoute, begins func(syscall.RawConn)) (net.Conn, error) {
 	ctx, cancel := context.WithTimeout(p.ctx, time.Duration(p.c.cfg.Load().ProbeTimeout))
 	defer cancel()
-	var nd net.Dialer
+	nd := net.Dialer{Control: func(_, _ string, conn syscall.RawConn) error {
+		if begins != nil {
+			begins(conn)
+		}
+		return nil
+	}}
 	return nd.DialContext(ctx, "tcp4", u.Address.String())
 }
 
@@ -96,7 +182,7 @@
 		return false
 	}
 	began := time.Now()
-	conn, err := p.dial(u)
+	conn, err := p.dial(u, nil)
 	if err != nil {
 		return false
 	}
--- a/internal/standin/emulator/emulator_test.go
+++ b/internal/standin/emulator/emulator_test.go
@@ -143,6 +143,32 @@
 	g.Expect(restart.worth).To(BeNumerically(">", crash.worth-0.002), "restart: %+v, crash: %+v", restart, crash)
 }
 
+// All upstreams of a zone fall silent at once. Each of its hosts has a flow or two at each of them and hears nobody any
+// more, as if its own link were full. Requests in progress are lost with them, and those that are sent before flows are
+// reset: half a second's at the most, a small part of one window.
+func TestZoneOfSilentUpstreamsIsLeftWithinHalfASecond(t *testing.T) {
+	t.Parallel()
+	g := NewWithT(t)
+	r := sum(t, read(t, "silent-zone"), "Present")
+	const lost, share, window = 0.5, 555.0 / 1557, 2.0
+	g.Expect(r.worst).To(BeNumerically(">", 1-lost*share/window), "%+v", r)
+	g.Expect(r.shed).To(BeZero(), "the other zones bear it")
+}
+
+// An operator empties a zone while its callers ask as much as ever. All of its new flows go elsewhere: the other zones'
+// upstreams have the slots, and must not shed for being asked all at once.
+func TestEvacuatedZoneIsBorneByTheOthers(t *testing.T) {
+	t.Parallel()
+	g := NewWithT(t)
+	p := read(t, "evacuation")
+	r := sum(t, p, "Present")
+	g.Expect(r.worth).To(BeNumerically(">", 0.999), "%+v", r)
+	g.Expect(r.shed).To(BeZero())
+	calm := *p
+	calm.Events = nil
+	g.Expect(r.worst).To(BeNumerically(">", sum(t, &calm, "Present").worst-0.002))
+}
+
 func TestPatternsAreChecked(t *testing.T) {
 	t.Parallel()
 	for name, c := range map[string]struct{ src, finding string }{
--- a/internal/standin/emulator/events.go
+++ b/internal/standin/emulator/events.go
@@ -12,6 +12,7 @@
 	do := map[EventKind]func(*Event){
 		EventHostsDown: w.hostsDown, EventBurst: w.burst, EventShift: w.shift,
 		EventCrash: w.crash, EventReplace: w.replace, EventCut: w.cutZone,
+		EventEvacuate: w.evacuate,
 	}[e.Kind]
 	w.after(time.Duration(e.At), func() { do(e) })
 }
@@ -92,3 +93,47 @@
 	z.cut = true
 	w.after(time.Duration(e.For), func() { z.cut = false })
 }
+
+func (w *play) evacuate(e *Event) {
+	z := w.zoneOf(e.Zone)
+	z.evacuated = true
+	w.tellEvacuated()
+	if e.For == 0 {
+		return
+	}
+	w.after(time.Duration(e.For), func() {
+		z.evacuated = false
+		for _, s := range w.servers {
+			if s.zone == z && !s.dark {
+				s.cool()
+			}
+		}
+		w.tellEvacuated()
+	})
+}
+
+// evacuated returns the evacuated zones.
+func (w *play) evacuated() []bundle.Zone {
+	var out []bundle.Zone
+	for _, z := range w.zones {
+		if z.evacuated {
+			out = append(out, z.Name)
+		}
+	}
+	return out
+}
+
+// tellEvacuated lets all hosts know of the evacuated zones, each after a delay of its own.
+func (w *play) tellEvacuated() {
+	list := w.evacuated()
+	for _, z := range w.zones {
+		for _, h := range z.hosts {
+			d := time.Duration(w.pattern.Delays.List)
+			w.after(d+w.jitter(d), func() {
+				if h.ready {
+					h.engine.Evacuate(list, w.wall())
+				}
+			})
+		}
+	}
+}
--- a/internal/standin/emulator/pattern.go
+++ b/internal/standin/emulator/pattern.go
@@ -112,9 +112,12 @@
 	EventReplace EventKind = "Replace"
 	// EventCut: Zone is cut off from the other zones For a time; callers reach it.
 	EventCut EventKind = "Cut"
+	// EventEvacuate: Zone gets no new flow For a time, or for good if For is zero. Its upstreams are slow for their
+	// warm-up when it is taken back.
+	EventEvacuate EventKind = "Evacuate"
 )
 
-var eventKinds = []EventKind{EventHostsDown, EventBurst, EventShift, EventCrash, EventReplace, EventCut}
+var eventKinds = []EventKind{EventHostsDown, EventBurst, EventShift, EventCrash, EventReplace, EventCut, EventEvacuate}
 
 // Event is one disturbance.
 type Event struct {
--- a/internal/standin/emulator/play.go
+++ b/internal/standin/emulator/play.go
@@ -45,8 +45,10 @@
 	router *router
 	// cut is set while the zone is cut off from the others, factor is by how much more its
 	// callers ask.
-	cut    bool
-	factor float64
+	cut bool
+	// evacuated is set while no new flow enters the zone.
+	evacuated bool
+	factor    float64
 	// shifted is where part of its callers ask now.
 	shifted      *zone
 	shiftedShare float64
--- a/internal/standin/emulator/server.go
+++ b/internal/standin/emulator/server.go
@@ -20,13 +20,14 @@
 	// dark says that it has fallen silent, lapsed that the list no longer has it.
 	dark, lapsed, draining bool
 	// life tells one incarnation from the next.
-	life     int
-	started  time.Duration
-	warmup   time.Duration
-	revision objects.Revision
-	flows    map[*flow]bool
-	working  int
-	queue    []*try
+	life int
+	// born is when it started, started when it was cold last.
+	born, started time.Duration
+	warmup        time.Duration
+	revision      objects.Revision
+	flows         map[*flow]bool
+	working       int
+	queue         []*try
 	// arrivals counts requests that came, shed those that it refused.
 	arrivals, shed int
 }
@@ -43,13 +44,20 @@
 func (s *server) start(warmup time.Duration) {
 	s.life++
 	s.dark, s.lapsed = false, false
-	s.started, s.warmup = s.w.now, warmup
+	s.born, s.started, s.warmup = s.w.now, s.w.now, warmup
 	s.working, s.queue = 0, nil
 	s.flows = make(map[*flow]bool)
 	s.w.tell(s, false)
 	s.revision = s.w.revision
 }
 
+// cool makes the upstream slow again, without a new incarnation.
+func (s *server) cool() {
+	s.started, s.warmup = s.w.now, time.Duration(s.service.Warmup)
+	s.w.tell(s, false)
+	s.revision = s.w.revision
+}
+
 // crash ends an incarnation without a word. Its entry lapses later.
 func (s *server) crash() {
 	s.dark = true
@@ -83,7 +91,7 @@
 	return registry.Registration{
 		ID: s.id, Service: s.service.Name, Address: s.address, Zone: s.zone.Name, Slots: s.service.Slots,
 		Draining: s.draining, Warmup: max(0, s.started+s.warmup-s.w.now), Created: objects.Revision(s.id), Revision: at,
-		Born: registry.UnixMilli(epoch.Add(s.started).UnixMilli()), Sequence: 1,
+		Born: registry.UnixMilli(epoch.Add(s.born).UnixMilli()), Sequence: 1,
 	}
 }
 
