cookie: a request that waits for three tenths of its route's objective makes its upstream be looked at

Cause: callers repeat a packet after 200 ms, whatever their goal is. Goals are 250 and 300 ms now: what is found out after the repeated packet comes too late for those who wait, and those who send on idle flows of a silent upstream lose what can't be repeated. Decision: when a doubt begins. Ways: the repeated packet (as it stood); the request's own wait, half, three and two tenths of the objective its route tells, 50 ms at least and 200 ms at most. Kept: three tenths; two tenths is the time that any busy upstream takes. Tests of what a repeated packet tells use routes without an objective now; their checks are as they were.

--- a/internal/connection/cookie/dead_test.go
+++ b/internal/connection/cookie/dead_test.go
@@ -30,7 +30,7 @@
 
 var _ = Describe("An upstream that leaves a repeated packet unanswered", func() {
 	It("is probed and gets no new flow meanwhile", func() {
-		e := newEngine(registrations(3))
+		e := newPatientEngine(registrations(3))
 		_, u, now := doubted(e)
 		due := e.DueProbes(now)
 		Expect(due).To(HaveLen(1))
@@ -45,7 +45,7 @@
 
 	DescribeTable("is found dead by",
 		func(results []cookie.ProbeResult, dead bool) {
-			e := newEngine(registrations(3))
+			e := newPatientEngine(registrations(3))
 			c, u, now := doubted(e)
 			resets := make([]cookie.Reset, 0, 1)
 			for _, r := range results {
@@ -77,7 +77,7 @@
 	// An upstream falls silent. Its callers wait until two attempts to connect have timed out;
 	// if the second begins only when the first has, they wait 150 ms more.
 	It("is probed a second time while the first attempt waits, and dead only by both", func() {
-		e := newEngine(registrations(3))
+		e := newPatientEngine(registrations(3))
 		c, u, now := doubted(e)
 		first := now
 		Expect(e.DueProbes(first)).To(HaveLen(1))
@@ -92,7 +92,7 @@
 	})
 
 	It("lives if the first of two attempts is answered late", func() {
-		e := newEngine(registrations(3))
+		e := newPatientEngine(registrations(3))
 		c, u, now := doubted(e)
 		Expect(e.DueProbes(now)).To(HaveLen(1))
 		second := now.Add(100 * ms)
@@ -106,7 +106,7 @@
 	// A busy upstream works on a request for longer than 200 ms, so its caller
 	// repeats it; probes wait behind the requests. Its feeds must not be reset.
 	It("lives if a flow hears from it while the probes wait", func() {
-		e := newEngine(registrations(3))
+		e := newPatientEngine(registrations(3))
 		c, u, now := doubted(e)
 		for range 3 {
 			e.DueProbes(now)
@@ -121,7 +121,7 @@
 	// A host is stopped for four seconds. When it goes on, it finds copies of packets
 	// that callers sent meanwhile and takes live upstreams for dead.
 	It("isn't doubted for what was repeated while the process was paused", func() {
-		e := newEngine(registrations(3))
+		e := newPatientEngine(registrations(3))
 		c := newCaller(1, feedAt)
 		u := c.open(e, start)
 		p := c.request(10)
@@ -136,7 +136,7 @@
 	// A host's own link is full. It hears no upstream, doubts every one whose flow
 	// repeats a packet, and has nowhere to place new flows.
 	It("isn't doubted while no upstream is heard", func() {
-		e := newEngine(registrations(3))
+		e := newPatientEngine(registrations(3))
 		c := newCaller(1, feedAt)
 		c.open(e, start)
 		now := start.Add(400 * ms)
@@ -148,7 +148,7 @@
 	})
 
 	It("takes flows again once a probe is answered", func() {
-		e := newEngine(registrations(1))
+		e := newPatientEngine(registrations(1))
 		c := newCaller(1, feedAt)
 		u := c.open(e, start)
 		e.Hint(u.Route.ID, start.Add(2*time.Second))
@@ -169,7 +169,7 @@
 	// just before its last answer.
 	DescribeTable("isn't taken for dead by one refused connection", func(leaves bool) {
 		list := registrations(3)
-		e := newEngine(list)
+		e := newPatientEngine(list)
 		c, u, now := doubted(e)
 		var others []registry.Registration
 		for i := range list {
@@ -200,7 +200,7 @@
 	// An upstream loses its way to the store but not to the balancers. Its entry
 	// lapses, and all its feeds are reset though it serves them.
 	It("keeps its flows if it answers under its own identifier, and gets no new one", func() {
-		e := newEngine(registrations(1))
+		e := newPatientEngine(registrations(1))
 		c := newCaller(1, feedAt)
 		u := c.open(e, start)
 		now := start.Add(time.Second)
@@ -216,7 +216,7 @@
 	// An upstream crashes and its address goes to another service. A desk's idle feed
 	// carries a booking to nowhere.
 	It("has its flows reset once another answers at its address", func() {
-		e := newEngine(registrations(1))
+		e := newPatientEngine(registrations(1))
 		c := newCaller(1, feedAt)
 		u := c.open(e, start)
 		now := start.Add(time.Second)
@@ -234,7 +234,7 @@
 	It("has its flows reset at once by a balancer that started later and was told", func() {
 		e, c, u := crashed()
 		Expect(e.Gone()).To(HaveLen(1))
-		later := newEngine(nil)
+		later := newPatientEngine(nil)
 		Expect(later.Decide(c.request(1), start).Action).To(Equal(cookie.ActionDrop))
 		later.LearnGone(e.Gone(), start)
 		later.Decide(c.request(1), start)
@@ -259,7 +259,7 @@
 	}
 
 	It("is a flow until it ends, and a request until its answer", func() {
-		e := newEngine(registrations(1))
+		e := newPatientEngine(registrations(1))
 		c := newCaller(1, feedAt)
 		u := c.open(e, start)
 		e.Decide(c.request(10), start)
@@ -280,7 +280,7 @@
 	// Routers move all flows when a host joins. What the former balancer counted stays
 	// counted there, and new flows keep away from upstreams that have room.
 	It("no longer counts a flow that other balancers see now", func() {
-		e := newEngine(registrations(1))
+		e := newPatientEngine(registrations(1))
 		c := newCaller(1, feedAt)
 		u := c.open(e, start)
 		e.Expire(start.Add(4 * time.Second))
@@ -295,7 +295,7 @@
 // crashed returns a balancer that has found its only upstream dead, a caller with a flow
 // there, and that upstream.
 func crashed() (*cookie.Engine, *caller, *cookie.Upstream) {
-	e := newEngine(registrations(1))
+	e := newPatientEngine(registrations(1))
 	c := newCaller(1, feedAt)
 	u := c.open(e, start)
 	setUpstreams(e, nil, start)
--- a/internal/connection/cookie/engine.go
+++ b/internal/connection/cookie/engine.go
@@ -45,6 +45,7 @@
 	// unsure are upstreams that left packets unanswered while nobody was heard, nextCheck when it may next be
 	// found out whose trouble that is.
 	unsure    []*Upstream
+	waits     waits
 	nextCheck time.Time
 	// turned is when the windows of outcomes last turned.
 	turned  time.Time
@@ -81,6 +82,7 @@
 		upstreams: make(map[bundle.UpstreamID]*Upstream),
 		table:     newTable(),
 		flows:     make(map[Key]*flow),
+		waits:     make(waits),
 		unknown:   make(map[Cookie]time.Time),
 		busy:      make(map[string]busyness),
 		zones:     make(map[zoneService]zoneLoad),
--- a/internal/connection/cookie/flow.go
+++ b/internal/connection/cookie/flow.go
@@ -125,7 +125,9 @@
 	case p.span() == 0:
 	case after(end, f.next):
 		f.next = end
-		f.asked(now)
+		if f.asked(now) {
+			e.waits.add(f, r, now)
+		}
 	default:
 		e.unanswered(f.up, now)
 	}
--- a/internal/connection/cookie/silence_test.go
+++ b/internal/connection/cookie/silence_test.go
@@ -28,7 +28,7 @@
 	for i := range list {
 		list[i].Born = 1
 	}
-	z := &silentZone{Engine: newEngine(list), now: start.Add(time.Second)}
+	z := &silentZone{Engine: newPatientEngine(list), now: start.Add(time.Second)}
 	at := make(map[bundle.UpstreamID]bool)
 	for n := 0; len(at) < 4; n++ {
 		c := newCaller(n, feedAt)
@@ -207,7 +207,7 @@
 // half a second in which callers send requests on idle flows there that nobody may repeat.
 var _ = Describe("An upstream that leaves two connections open in a row", func() {
 	It("is dead by the second, which begins when the first is left open", func() {
-		e := newEngine(registrations(3))
+		e := newPatientEngine(registrations(3))
 		c, u, now := doubted(e)
 		Expect(e.DueProbes(now)).To(HaveLen(1))
 		found, _ := e.Unaccepted(u.Route.ID, now, now.Add(60*ms))
@@ -221,7 +221,7 @@
 	})
 
 	It("lives if a flow heard from it meanwhile", func() {
-		e := newEngine(registrations(3))
+		e := newPatientEngine(registrations(3))
 		c, u, now := doubted(e)
 		e.DueProbes(now)
 		e.Unaccepted(u.Route.ID, now, now.Add(60*ms))
@@ -236,7 +236,7 @@
 	// It closes its health port some milliseconds before it ends its flows.
 	It("lives on if it drains", func() {
 		list := registrations(3)
-		e := newEngine(list)
+		e := newPatientEngine(list)
 		_, u, now := doubted(e)
 		for i := range list {
 			list[i].Draining = list[i].ID == u.Route.ID
--- /dev/null
+++ b/internal/connection/cookie/wait_test.go
@@ -0,0 +1,62 @@
+package cookie_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/fescueshed/fescueshed/internal/connection/cookie"
+)
+
+// An upstream falls silent. Its caller repeats the request only after 200 ms; by the time the upstream is found dead, the
+// objective of 150 ms has passed long ago, and so it has for those whose flows are reset then.
+var _ = Describe("A request that waits for a good part of its objective", func() {
+	// waiting opens a flow, lets another upstream be heard and sends a request at the time that it returns.
+	waiting := func(e *cookie.Engine) (*caller, *cookie.Upstream, time.Time) {
+		GinkgoHelper()
+		c := newCaller(1, feedAt)
+		u := c.open(e, start)
+		now := start.Add(400 * ms)
+		openAtOther(e, u, now)
+		e.Decide(c.request(10), now)
+		return c, u, now
+	}
+
+	It("makes its upstream be looked at before the caller repeats it", func() {
+		e := newEngine(registrations(3))
+		_, u, asked := waiting(e)
+		Expect(e.DueProbes(asked.Add(40 * ms))).To(BeEmpty(), "any may take so long")
+		due := e.DueProbes(asked.Add(objective / 2))
+		Expect(due).To(HaveLen(1))
+		Expect(due[0].Upstream.ID).To(Equal(u.Route.ID))
+	})
+
+	It("doesn't if it is answered, or another there is", func() {
+		e := newEngine(registrations(3))
+		c, _, asked := waiting(e)
+		e.Decide(c.ackPacket(100), asked.Add(20*ms))
+		Expect(e.DueProbes(asked.Add(objective))).To(BeEmpty())
+		again := asked.Add(400 * ms)
+		openAtOther(e, nil, again)
+		e.Decide(c.request(10), again)
+		Expect(e.DueProbes(again.Add(40 * ms))).To(BeEmpty(), "the former one is over")
+	})
+
+	It("doesn't while an answered probe shows that its upstream lives", func() {
+		e := newEngine(registrations(3))
+		c, u, asked := waiting(e)
+		now := asked.Add(objective / 2)
+		Expect(e.DueProbes(now)).To(HaveLen(1))
+		e.Probed(u.Route.ID, cookie.ProbeAlive, now, now)
+		e.Decide(c.ackPacket(100), now.Add(10*ms))
+		e.Decide(c.request(10), now.Add(300*ms))
+		Expect(e.DueProbes(now.Add(300*ms + objective))).To(BeEmpty(), "it is busy")
+	})
+
+	It("doesn't where its route has no objective", func() {
+		e := newPatientEngine(registrations(3))
+		_, _, asked := waiting(e)
+		Expect(e.DueProbes(asked.Add(10 * time.Second))).To(BeEmpty())
+	})
+})
--- a/internal/connection/cookie/watch.go
+++ b/internal/connection/cookie/watch.go
@@ -81,6 +81,7 @@
 // DueProbes returns the upstreams that are to be probed now. Each must be
 // answered by Probed, a check by Checked.
 func (e *Engine) DueProbes(now time.Time) []Probe {
+	e.doubtWaiting(now)
 	var out []Probe
 	if check, ok := e.check(now); ok {
 		out = append(out, check)
--- a/internal/connection/cookie/world_test.go
+++ b/internal/connection/cookie/world_test.go
@@ -86,12 +86,26 @@
 }
 
 func newEngine(list []registry.Registration) *cookie.Engine {
+	return newEngineOf(content(), list)
+}
+
+// newPatientEngine returns an engine whose routes have no objective: no request waits too long, only
+// repeated packets tell of a silent upstream.
+func newPatientEngine(list []registry.Registration) *cookie.Engine {
+	b := content()
+	for i := range b.Routes {
+		b.Routes[i].Objective = 0
+	}
+	return newEngineOf(b, list)
+}
+
+func newEngineOf(b *bundle.Bundle, list []registry.Registration) *cookie.Engine {
 	e := cookie.NewEngine(cookie.Options{
 		Zone:         ownZone,
 		Policy:       upstream.NewZoned(ownZone, upstream.DefaultChoices),
 		FlowLifetime: time.Minute,
 	})
-	e.SetRouting(routing(1), start)
+	e.SetRouting(bundle.NewRouting(1, b, nil), start)
 	setUpstreams(e, list, start)
 	e.Confirm(start)
 	return e
