--- a/internal/connection/cookie/wait_test.go
+++ b/internal/connection/cookie/wait_test.go
@@ -26,7 +26,7 @@
 	It("makes its upstream be looked at before the caller repeats it", func() {
 		e := newEngine(registrations(3))
 		_, u, asked := waiting(e)
-		Expect(e.DueProbes(asked.Add(40 * ms))).To(BeEmpty(), "any may take so long")
+		Expect(e.DueProbes(asked.Add(40*ms))).To(BeEmpty(), "any may take so long")
 		due := e.DueProbes(asked.Add(objective / 2))
 		Expect(due).To(HaveLen(1))
 		Expect(due[0].Upstream.ID).To(Equal(u.Route.ID))
@@ -40,7 +40,7 @@
 		again := asked.Add(400 * ms)
 		openAtOther(e, nil, again)
 		e.Decide(c.request(10), again)
-		Expect(e.DueProbes(again.Add(40 * ms))).To(BeEmpty(), "the former one is over")
+		Expect(e.DueProbes(again.Add(40*ms))).To(BeEmpty(), "the former one is over")
 	})
 
 	It("doesn't while an answered probe shows that its upstream lives", func() {
@@ -51,7 +51,7 @@
 		e.Probed(u.Route.ID, cookie.ProbeAlive, now, now)
 		e.Decide(c.ackPacket(100), now.Add(10*ms))
 		e.Decide(c.request(10), now.Add(300*ms))
-		Expect(e.DueProbes(now.Add(300*ms + objective))).To(BeEmpty(), "it is busy")
+		Expect(e.DueProbes(now.Add(300*ms+objective))).To(BeEmpty(), "it is busy")
 	})
 
 	It("doesn't where its route has no objective", func() {
