--- a/internal/connection/cookie/engine.go
+++ b/internal/connection/cookie/engine.go
@@ -134,9 +134,8 @@
 }
 
 // Update takes in registered upstreams that came, changed or went, and returns resets for
-// flows of upstreams that started again. Its cost doesn't grow with the number of the others:
-// one of 3000 is replaced in under 2 µs, where making the look-up tables anew took 1.7 ms, a
-// third of a small host's processor while thousands are replaced.
+// flows of upstreams that started again. Its cost doesn't grow with the number of the others, so a small host
+// keeps up while thousands are replaced.
 func (e *Engine) Update(changes []registry.Change, now time.Time) []Reset {
 	var out []Reset
 	for i := range changes {
--- a/internal/connection/cookie/grey.go
+++ b/internal/connection/cookie/grey.go
@@ -24,8 +24,7 @@
 // stay: it may answer them.
 const (
 	// failedAfter is how long a request goes without a sign of an answer before it
-	// counts as failed: more than the users' longest latency objective for requests on
-	// long flows, 600 ms, and than an upstream with a full queue takes.
+	// counts as failed: more than an upstream with a full queue takes.
 	failedAfter = time.Second
 	// outcomeWindow is the time over which outcomes are counted; two windows count.
 	outcomeWindow = 2 * time.Second
--- a/internal/connection/cookie/report.go
+++ b/internal/connection/cookie/report.go
@@ -23,9 +23,8 @@
 }
 
 // TakeSum takes in what all balancers of the zone count: what is more than this one's own
-// flows is with the others. Without the others' flows the busiest of 100 upstreams of a zone gets
-// 1.66 times the mean in place of 1.26, and in a burst of one zone 12 requests of 10,000 are
-// late in place of 5 (emulator, wide and burst). It returns the upstreams that get no new flows from now on, since
+// flows is with the others. Many balancers that each see few flows spread them evenly by it, and find room in a
+// burst of their zone. It returns the upstreams that get no new flows from now on, since
 // too many of their requests fail.
 func (e *Engine) TakeSum(r *peer.Report, now time.Time) []bundle.UpstreamID {
 	ids := make([]bundle.UpstreamID, 0, len(r.Loads))
--- a/internal/connection/cookie/watch.go
+++ b/internal/connection/cookie/watch.go
@@ -125,8 +125,7 @@
 
 // Hint notes that another balancer found an upstream dead. It is looked at, not
 // believed: that balancer may be the one that is cut off. With few hosts each finds out by
-// itself; where each host sees few flows, hints save two thirds of the requests that a crash
-// makes late (emulator, wide, 300 hosts: 347 in place of 1060).
+// itself; where each sees few flows, most of a crashed upstream's callers are told in time by hints alone.
 func (e *Engine) Hint(id bundle.UpstreamID, now time.Time) {
 	u := e.upstreams[id]
 	if u != nil && u.listed && u.health == HealthGood && now.Sub(u.checked) >= checkedFor {
--- a/internal/connection/peer/packed.go
+++ b/internal/connection/peer/packed.go
@@ -13,8 +13,7 @@
 )
 
 // PackedUpdate is a bundle.Update in the form in which daemons tell it: compressed CBOR (RFC 1951,
-// RFC 8949). Routes are alike: a bundle of 4,246 that takes 510 KB takes 35 KB like this, and 1 ms of a
-// core to uncompress (one run, with numbered routes).
+// RFC 8949). Routes are alike, so a whole bundle takes a small part of its bytes like this.
 type PackedUpdate []byte
 
 // maxUnpacked bounds what an update may unpack to: a bundle of the largest object that the store
--- a/internal/connection/peer/reader.go
+++ b/internal/connection/peer/reader.go
@@ -162,9 +162,8 @@
 	// takeOverSteps bounds the delay: who is further back starts with the fourth.
 	takeOverSteps = 3
 	// lostStep lies between one rank and the next beyond takeOverSteps if those before say that the
-	// store doesn't answer: it won't answer this one either, unless it turns just those away.
-	// With it 195 daemons, of which some were restarted, made 1,820 calls in a minute in which the
-	// store refused all for 6.5 s, and 3,312 without (one run each). lostRanks bounds the wait,
+	// store doesn't answer: it won't answer this one either, unless it turns just those away. Without it
+	// a store that refuses calls is asked by every daemon. lostRanks bounds the wait,
 	// should the store serve only who is far back.
 	lostStep  = time.Second
 	lostRanks = 8
--- a/internal/connection/peer/start.go
+++ b/internal/connection/peer/start.go
@@ -30,8 +30,7 @@
 	meetAfter = 20 * time.Millisecond
 	// settleAfter is when, at the first start, the daemon that stands first in rank reads. The
 	// users' hosts start within 300 ms of each other; before that some take themselves for the
-	// first. In the emulator the start of 195 hosts costs 18 to 50 calls with this wait and 34 to
-	// 56 without (three seeds each), and nobody waits for it.
+	// first, and each of them would call the store. Nobody waits for it.
 	settleAfter = time.Second
 	// aloneAfter is when one reads that no seed has answered at the first start: it has asked
 	// four times.
--- a/internal/connection/peer/sum.go
+++ b/internal/connection/peer/sum.go
@@ -9,8 +9,8 @@
 
 // Loads are told each EagerPeriod in the first two seconds of a daemon. All hosts may have lost
 // power; each then places what callers held back in half a second, knowing nothing of the
-// others. With loads told each half second only, upstreams shed two thirds more in that
-// time (emulator, return-to-fewer-upstreams: 440 requests a play, 261 as it is).
+// others. With loads told each half second only, all send to the same upstreams in that time,
+// which shed while others have room.
 const (
 	EagerPeriod = 100 * time.Millisecond
 	eagerFor    = 2 * time.Second
--- a/internal/connection/upstream/zoned.go
+++ b/internal/connection/upstream/zoned.go
@@ -9,8 +9,7 @@
 
 // Zoned places new flows in the daemon's own zone as long as its upstreams there have
 // room, and in another zone while they are crowded and that one isn't: what crosses
-// zones is what a cut between them breaks, and its bytes are paid for. Placing in all zones
-// alike loses 3 to 7 requests of 1,000 in 40 s with a cut (docs/FURTHER.md, ablation). It takes
+// zones is what a cut between them breaks, and its bytes are paid for. It takes
 // the least loaded of a few candidates that it draws. It isn't safe for concurrent use.
 type Zoned struct {
 	zone    bundle.Zone
@@ -30,9 +29,7 @@
 }
 
 // coldFlows is how many flows more an upstream counts while it is slow after its
-// start, so that a newcomer isn't given all new flows in its slow seconds. It buys one
-// request of 9,500 in a rolling replacement (emulator), and nothing that could be measured on
-// the users' days.
+// start, so that a newcomer isn't given all new flows in its slow seconds.
 const coldFlows = 2
 
 // When new flows cross zones. At a utilization of 0.8, requests of the users'
@@ -45,9 +42,8 @@
 
 // The utilization is that of the last seconds. What this daemon itself waits for is known at
 // once: if that alone fills the slots of the upstream that it would choose, a new flow goes
-// to another zone whose upstream has half a request a slot less to do. In a zone whose callers
-// ask twice as much for three seconds, that lets a quarter of the requests be shed (17 of
-// 75 a day, nine days with such bursts at three installations).
+// to another zone whose upstream has half a request a slot less to do. In a burst of one zone its upstreams
+// would else shed while the other zones have room.
 const (
 	occupied       = 1.0
 	occupiedMargin = 0.5
--- a/internal/process/carrier/command.go
+++ b/internal/process/carrier/command.go
@@ -66,7 +66,7 @@
 
 // signalsAfter bounds how long a daemon that isn't ready leaves signals to the system, which
 // ends it. Until it is ready it has nothing to drain, and making Go's runtime listen costs
-// 0.4 ms of processor time, 5 ms on a host with a tenth of a core, while callers wait.
+// a small host milliseconds while callers wait.
 const signalsAfter = 250 * time.Millisecond
 
 // awaitStart waits until the daemon is ready, or signalsAfter.
--- a/internal/process/carrier/departure.go
+++ b/internal/process/carrier/departure.go
@@ -6,8 +6,8 @@
 )
 
 // departure decides when a daemon that leaves may end: when the routers have stopped
-// sending to it. Ending at once loses 2 requests of 1,000 in 40 s with a rolling restart (docs/FURTHER.md,
-// ablation). It is safe for concurrent use and has no clock.
+// sending to it. One that ended at once would lose the packets that they still send. It is safe for concurrent
+// use and has no clock.
 type departure struct {
 	mu sync.Mutex
 	// limit is how long the daemon serves on at most.
--- a/internal/process/carrier/follower.go
+++ b/internal/process/carrier/follower.go
@@ -132,8 +132,7 @@
 
 // listAll reads the whole list. A daemon that starts takes stale pages after the first, and
 // a watch that doesn't wait then brings what they lack: when all hosts come back from a loss
-// of power, fresh ones are more than the store allows (300 hosts that list 3000 upstreams
-// in pages of 50 are 18,000 calls). Any other daemon takes fresh pages: a store that
+// of power, fresh ones are more than the store allows: hosts times pages. Any other daemon takes fresh pages: a store that
 // drops its history is stale and deaf at once, and the list would be taken for complete
 // though it lacks seconds.
 func (f *follower[T]) listAll(ctx context.Context) (objects.Revision, error) {
--- a/internal/process/carrier/store.go
+++ b/internal/process/carrier/store.go
@@ -54,8 +54,8 @@
 
 // follows reports whether this daemon, whose view says rank, follows the store. One that can't
 // place flows yet doesn't, and mustn't ask reading: it has heard nothing, so reading would begin,
-// and go on for a second after others have told the daemon all. 150 of 195 hosts that started
-// together each made two calls by that. c.mu is held.
+// and go on for a second after others have told the daemon all, on every host of a fleet that
+// starts together. c.mu is held.
 func (c *Carrier) follows(rank int, now time.Time) bool {
 	if !c.ready() {
 		return false
--- a/internal/version/bundle/update.go
+++ b/internal/version/bundle/update.go
@@ -11,8 +11,8 @@
 	"github.com/rotisserie/eris"
 )
 
-// Update leads from one version of a bundle to a later one. It holds what differs: a change of one
-// of 4,000 routes takes 200 bytes, where the whole bundle takes 500 KB.
+// Update leads from one version of a bundle to a later one. It holds what differs, so it grows with the change and not
+// with the bundle.
 type Update struct {
 	// From is the version that it leads on from, zero if it holds a whole bundle.
 	From, To Version
