cookie: a request may wait for three times what its service's answers usually take

Change: the daemon finds out what is usual, by service, from the answers that pass it. A test of what the system says of a waiting connection.

--- a/internal/connection/cookie/engine.go
+++ b/internal/connection/cookie/engine.go
@@ -44,8 +44,10 @@
 	heard time.Time
 	// unsure are upstreams that left packets unanswered while nobody was heard, nextCheck when it may next be
 	// found out whose trouble that is.
-	unsure    []*Upstream
-	waits     waits
+	unsure []*Upstream
+	waits  waits
+	// usual is how long answers of each service usually take.
+	usual     map[string]time.Duration
 	nextCheck time.Time
 	// turned is when the windows of outcomes last turned.
 	turned  time.Time
@@ -83,6 +85,7 @@
 		table:     newTable(),
 		flows:     make(map[Key]*flow),
 		waits:     make(waits),
+		usual:     make(map[string]time.Duration),
 		unknown:   make(map[Cookie]time.Time),
 		busy:      make(map[string]busyness),
 		zones:     make(map[zoneService]zoneLoad),
--- a/internal/connection/cookie/flow.go
+++ b/internal/connection/cookie/flow.go
@@ -126,7 +126,7 @@
 	case after(end, f.next):
 		f.next = end
 		if f.asked(now) {
-			e.waits.add(f, r, now)
+			e.awaits(f, r, now)
 		}
 	default:
 		e.unanswered(f.up, now)
--- a/internal/connection/cookie/requests.go
+++ b/internal/connection/cookie/requests.go
@@ -44,6 +44,7 @@
 		counts.InTime++
 	}
 	f.overdue = false
+	e.tookUsually(f.up.Route.Service.Name, took)
 	e.opts.Answered(took)
 }
 
--- a/internal/connection/cookie/wait_test.go
+++ b/internal/connection/cookie/wait_test.go
@@ -54,6 +54,25 @@
 		Expect(e.DueProbes(now.Add(300*ms+objective))).To(BeEmpty(), "it is busy")
 	})
 
+	// A service whose answers take long is probed for each of its requests, which costs its slots and finds nothing.
+	It("doesn't while it waits no longer than the service's answers usually take", func() {
+		e := newEngine(registrations(3))
+		for n := range 200 {
+			c := newCaller(300+n, feedAt)
+			c.open(e, start)
+			e.Decide(c.request(10), start)
+			e.Decide(c.ackPacket(100), start.Add(60*ms))
+		}
+		c := newCaller(1, feedAt)
+		u := c.open(e, start.Add(time.Second))
+		asked := start.Add(1400 * ms)
+		openAtOther(e, u, asked)
+		e.Decide(c.request(10), asked)
+		Expect(e.DueProbes(asked.Add(170 * ms))).To(BeEmpty())
+		openAtOther(e, u, asked.Add(190*ms))
+		Expect(e.DueProbes(asked.Add(190 * ms))).To(HaveLen(1))
+	})
+
 	It("doesn't where its route has no objective", func() {
 		e := newPatientEngine(registrations(3))
 		_, _, asked := waiting(e)
