daemon: the first carriage tells which zones its bundle evacuates, since when, and how many flows are open there

Lines, metrics and status as in the other carriage. The program that hosts run has the same code but for where its metrics of evacuations are written.

--- a/internal/process/carrier/http.go
+++ b/internal/process/carrier/http.go
@@ -111,10 +111,7 @@
 // come.
 func (c *Carrier) writeRequests(w io.Writer) {
 	s := c.Status()
-	for _, e := range s.Evacuated {
-		fmt.Fprintf(w, "fescueshed_zone_evacuated{zone=%q} 1\n", e.Zone)
-		fmt.Fprintf(w, "fescueshed_evacuated_zone_flows{zone=%q} %d\n", e.Zone, e.Flows)
-	}
+	status.WriteEvacuated(w, s.Evacuated)
 	for _, r := range s.Requests {
 		for outcome, n := range map[string]uint64{
 			"InTime": r.InTime, "Late": r.Late, "Failed": r.Failed, "Refused": r.Refused, "Unknown": r.Unknown,
--- a/internal/process/daemon/admin.go
+++ b/internal/process/daemon/admin.go
@@ -35,6 +35,7 @@
 	set := d.metricSet()
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
 		set.WritePrometheus(w)
+		status.WriteEvacuated(w, d.Status().Evacuated)
 		metrics.WriteProcessMetrics(w)
 	})
 	if d.cfg.Debug {
@@ -72,6 +73,7 @@
 	}
 	if t := d.engine.Routing(); t != nil {
 		s.Upstreams = d.upstreamStatus(t)
+		s.Evacuated = d.evacuated.status(s.Upstreams)
 	}
 	for c := 1; c < caller.NumCauses; c++ {
 		if n := d.engine.Counters.Drops[c].Load(); n > 0 {
--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -44,6 +44,7 @@
 	sweeper  sweeper
 	blocked  blocklist.List
 
+	evacuated evacuated
 	readyOnce sync.Once
 	ready     chan struct{}
 }
@@ -123,6 +124,7 @@
 // apply puts a verified bundle in force.
 func (d *Daemon) apply(s *bundle.Signed, b *bundle.Bundle) {
 	d.engine.SetRouting(bundle.NewRouting(s.Version, b, d.engine.Routing()))
+	d.evacuated.set(b.Evacuated, s.Version, time.Now())
 	d.control.setBundle(s.Version)
 	d.readyOnce.Do(func() { close(d.ready) })
 	klog.InfoS("Bundle in force", "Version", s.Version, "PreparedBy", s.PreparedBy, "ApprovedBy", s.ApprovedBy)
--- a/internal/process/daemon/daemon_test.go
+++ b/internal/process/daemon/daemon_test.go
@@ -72,7 +72,9 @@
 	return d
 }
 
-func (h *hosts) signed(v bundle.Version) *bundle.Signed {
+func (h *hosts) signed(v bundle.Version) *bundle.Signed { return h.signedContent(v, content) }
+
+func (h *hosts) signedContent(v bundle.Version, content string) *bundle.Signed {
 	s, err := bundle.Sign(bundle.Signed{
 		Version: v, PreparedBy: "preparer", ApprovedBy: "approver", OperationID: strings.Repeat("x", int(v)), Content: []byte(content),
 	}, h.key)
@@ -130,6 +132,27 @@
 		Eventually(version(b), soon).Should(BeEquivalentTo(1))
 	})
 
+	// An operator empties a zone by a new version and takes it back by the next. Who switches the zone off goes by what
+	// each balancer says of it.
+	It("tells on every daemon which zones are evacuated, and since when", func() {
+		h := newHosts()
+		a := h.start(1)
+		evacuating := strings.Replace(content, `{"Services"`, `{"Evacuated": ["a"], "Services"`, 1)
+		Expect(h.client.Roll(context.Background(), h.signedContent(1, evacuating), time.Millisecond)).To(Succeed())
+		Eventually(version(a), soon).Should(BeEquivalentTo(1))
+		s := a.Status()
+		Expect(s.Evacuated).To(HaveLen(1))
+		Expect(s.Evacuated[0].Zone).To(BeEquivalentTo("a"))
+		Expect(s.Upstreams[0].Drain).To(BeTrue())
+		Expect(h.client.Roll(context.Background(), h.signedContent(2, evacuating), time.Millisecond)).To(Succeed())
+		Eventually(version(a), soon).Should(BeEquivalentTo(2))
+		Expect(a.Status().Evacuated[0].Since).To(Equal(s.Evacuated[0].Since), "it didn't begin anew")
+		h.roll(3)
+		Eventually(version(a), soon).Should(BeEquivalentTo(3))
+		Expect(a.Status().Evacuated).To(BeEmpty())
+		Expect(a.Status().Upstreams[0].Drain).To(BeFalse())
+	})
+
 	It("is kept by a daemon that leaves and reports that nothing was left", func() {
 		h := newHosts()
 		a, b := h.start(1), h.start(2)
--- a/internal/process/status/status.go
+++ b/internal/process/status/status.go
@@ -6,7 +6,6 @@
 	"context"
 	"encoding/json"
 	"net/http"
-	"time"
 
 	"github.com/rotisserie/eris"
 
@@ -72,15 +71,6 @@
 	Unknown uint64
 }
 
-// EvacuationStatus is a zone that is evacuated.
-type EvacuationStatus struct {
-	Zone bundle.Zone
-	// Since is when this daemon was told.
-	Since time.Time
-	// Flows are those that are still open there, as far as they pass this daemon.
-	Flows int
-}
-
 // Handler serves a status as JSON.
 func Handler(get func() Status) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
