--- a/internal/connection/cookie/engine.go
+++ b/internal/connection/cookie/engine.go
@@ -44,11 +44,11 @@
 	heard time.Time
 	// unsure are upstreams that left packets unanswered while nobody was heard, nextCheck when it may next be
 	// found out whose trouble that is.
-	unsure []*Upstream
-	waits  waits
-	// usual is how long answers of each service usually take.
-	usual     map[string]time.Duration
+	unsure    []*Upstream
 	nextCheck time.Time
+	waits     waits
+	// usual is how long answers of each service usually take.
+	usual map[string]time.Duration
 	// turned is when the windows of outcomes last turned.
 	turned  time.Time
 	busy    map[string]busyness
--- a/internal/connection/cookie/silence.go
+++ b/internal/connection/cookie/silence.go
@@ -104,13 +104,16 @@
 // Unaccepted takes in that a probe which was sent at a time isn't accepted yet, though its reference was at once. It
 // returns the upstreams that are found dead by it, and resets for their flows.
 //
-// All upstreams of a zone may fall silent together: its power is lost, or the way there. Each for
-// itself is found dead only by a second time-out; until then callers wait on its flows, and others send
-// requests there that can't be repeated. If several leave a connection open at once, and nobody of
-// the zone shows a sign of life meanwhile, that is no chance of one packet or one busy upstream, and the
-// reference shows that it isn't this host. Upstreams that left the list don't count: a rolling
-// replacement ends several of them together. The zone's others that callers have flows at are looked at then, and
-// for a while one that leaves its connection open is dead like them.
+// An upstream is dead by two connections in a row that it leaves open: one may be lost on the way, and the
+// references show that it isn't this host's trouble. Until a silent upstream's flows are reset, callers wait on
+// them, and others send requests there that can't be repeated.
+//
+// All upstreams of a zone may fall silent together: its power is lost, or the way there. If several leave a connection
+// open at once, and nobody of the zone shows a sign of life meanwhile, one each is enough. The zone's others that callers
+// have flows at are looked at then, and for a while one that leaves its connection open is dead like them.
+//
+// Upstreams that left the list don't count: a rolling replacement ends several of them together, and whoever
+// drains closes its port before it ends its flows.
 func (e *Engine) Unaccepted(id bundle.UpstreamID, sent, now time.Time) ([]bundle.UpstreamID, []Reset) {
 	u := e.upstreams[id]
 	if u == nil || sent.Before(u.since) || u.health == HealthDead || u.heard.After(sent) {
@@ -152,7 +155,7 @@
 	return nil
 }
 
-// unacceptedIn returns the doubted upstreams of a zone that left a probe unaccepted.
+// unacceptedIn returns the doubted upstreams of a zone that left a probe open.
 func (e *Engine) unacceptedIn(r *reach) []*Upstream {
 	var out []*Upstream
 	for _, u := range e.upstreams {
