--- a/internal/connection/peer/warmer_test.go
+++ b/internal/connection/peer/warmer_test.go
@@ -35,7 +35,9 @@
 	// from is when it begins to send, until when it ends.
 	from, until time.Duration
 	changes     []warmChange
-	sent        []time.Duration
+	// share is the sharer's word since it last saw a view.
+	share int
+	sent  []time.Duration
 }
 
 // warmChange is what a host comes to know of another.
@@ -124,12 +126,13 @@
 			}
 		}
 		h.sharer.See(peer.NewView(h.self, list, peer.Changes{}), start.Add(at))
+		h.share = h.sharer.Share(7, rate)
 	}
 	for len(h.sent) > 0 && at-h.sent[0] >= time.Second {
 		h.sent = h.sent[1:]
 	}
 	var out []time.Duration
-	for len(h.sent) < h.sharer.Share(7, rate) {
+	for len(h.sent) < h.share {
 		h.sent = append(h.sent, at)
 		out = append(out, at)
 	}
