--- a/internal/process/story/story.go
+++ b/internal/process/story/story.go
@@ -86,6 +86,7 @@
 	"Spilled":       "the flow was placed in another zone, its own was crowded or had no upstream; a cut between them breaks it",
 	"Repeated":      "a copy of the first packet went to the same upstream, which answered others: the first was lost",
 	"Silent":        "a copy went to another upstream, since the first gave no sign of life",
+	"Evacuated":     "a copy of the first packet came after the zone that it went to was evacuated; nothing has run for it there",
 	"NoRoute":       "the bundle in force has no route for the address; nothing has run unless the flow was open before",
 	"NoUpstream":    "no upstream of the service could take the flow; nothing has run",
 	"Gone":          "the flow's upstream had left or crashed; whether an open request ran, only its log says",
