--- a/internal/process/carrier/carrier.go
+++ b/internal/process/carrier/carrier.go
@@ -72,6 +72,7 @@
 	// unusable counts stored objects that couldn't be used, each time they were read.
 	unusable  atomic.Uint64
 	departure departure
+	history   storeHistory
 
 	// mu guards what follows.
 	mu      sync.Mutex
--- a/internal/process/carrier/follower.go
+++ b/internal/process/carrier/follower.go
@@ -126,6 +126,7 @@
 	}
 	f.answered()
 	f.reportChanges(&ch)
+	f.c.noteAnswer(f.kind, ch.Era, ch.AsOf)
 	f.changes(ch, time.Now())
 	return ch.AsOf, len(ch.List) > 0, nil
 }
@@ -170,6 +171,7 @@
 	f.listing, f.fresh = nil, false
 	f.answered()
 	now := time.Now()
+	f.c.noteAnswer(f.kind, s.Era, s.AsOf)
 	f.list(s, now)
 	f.changes(late, now)
 	return late.AsOf, nil
--- a/internal/process/carrier/knowledge.go
+++ b/internal/process/carrier/knowledge.go
@@ -43,6 +43,17 @@
 	failing, answered time.Time
 }
 
+// asOf returns the revision as of which a kind is known.
+func (k *knowledge) asOf(of kind) objects.Revision {
+	switch of {
+	case kindBundles:
+		return k.bundleAsOf
+	case kindEvacuations:
+		return k.evacuated.AsOf
+	}
+	return k.catalog.AsOf
+}
+
 // confirm notes that a kind was known as a whole at a time.
 func (k *knowledge) confirm(of kind, at time.Time) {
 	if at.After(k.confirmed[of]) {
--- a/internal/version/objects/feed.go
+++ b/internal/version/objects/feed.go
@@ -11,6 +11,10 @@
 // object. Zero is before the first.
 type Revision uint64
 
+// Era counts how often the store came back from a copy of itself. What it acknowledged after the copy
+// is gone, and revisions are given out again. Zero is a store that never did, or doesn't tell.
+type Era uint32
+
 // Object is one stored object of a kind whose content is decoded to T.
 type Object[T any] struct {
 	Name string
@@ -27,6 +31,7 @@
 type Page[T any] struct {
 	Objects []Object[T]
 	AsOf    Revision
+	Era     Era
 	// Next is where the list goes on. It is empty on the last page.
 	Next string
 	// Findings tell of items that don't even have a name. Those that have one are among
@@ -51,6 +56,7 @@
 type Snapshot[T any] struct {
 	Objects []Object[T]
 	AsOf    Revision
+	Era     Era
 }
 
 // Change is one event of a watch.
@@ -65,6 +71,7 @@
 type Changes[T any] struct {
 	List []Change[T]
 	AsOf Revision
+	Era  Era
 	// Findings are as those of a Page.
 	Findings []error
 }
--- a/internal/version/objects/listing.go
+++ b/internal/version/objects/listing.go
@@ -7,6 +7,7 @@
 type Listing[T any] struct {
 	objects []Object[T]
 	asOf    Revision
+	era     Era
 	next    string
 	begun   bool
 	// stale says that pages after the first may be some seconds old, staleFirst that the
@@ -42,6 +43,7 @@
 	if !l.begun || p.AsOf < l.asOf {
 		l.asOf = p.AsOf
 	}
+	l.era = p.Era
 	l.lacks = l.lacks || l.Next().Stale
 	l.begun = true
 	l.objects = append(l.objects, p.Objects...)
@@ -49,4 +51,4 @@
 }
 
 // Snapshot returns what was gathered.
-func (l *Listing[T]) Snapshot() Snapshot[T] { return Snapshot[T]{Objects: l.objects, AsOf: l.asOf} }
+func (l *Listing[T]) Snapshot() Snapshot[T] { return Snapshot[T]{Objects: l.objects, AsOf: l.asOf, Era: l.era} }
