carrier: a test that fails: a drain under a reused revision isn't heard

The stand-in store can come back from a copy: what it acknowledged since is gone, revisions are given out again, a watch from one that it doesn't have is answered 410, and Store-Era rises in all answers. Three daemons know revision 18 when it comes back with 13; the drain is written as revision 14. None hears of it for 30 s, though each is answered all the while: «Store answer is older than known … AsOf=14 Known=18» for each list and watch.

--- /dev/null
+++ b/internal/process/carrier/restored_test.go
@@ -0,0 +1,59 @@
+package carrier_test
+
+import (
+	"fmt"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/fescueshed/fescueshed/internal/standin/world"
+)
+
+// openAll starts a balancer on each host, and waits until all know each other.
+func openAll(t *testing.T, w *world.World) []*node {
+	t.Helper()
+	g := NewWithT(t)
+	nodes := make([]*node, 0, len(w.Hosts))
+	for _, h := range w.Hosts {
+		nodes = append(nodes, openNode(t, w, h))
+	}
+	for _, n := range nodes {
+		g.Eventually(n.Ready, patience).Should(BeTrue())
+		g.Eventually(n.Members, patience).Should(Equal(len(nodes)))
+	}
+	return nodes
+}
+
+// lostChanges is how many changes a store loses that comes back from a copy. What is written then has revisions
+// that the balancers have seen.
+const lostChanges = 5
+
+// restoreStore lets the store come back from a copy, once all balancers know the changes that it loses.
+func restoreStore(t *testing.T, w *world.World, nodes []*node) {
+	t.Helper()
+	g := NewWithT(t)
+	restore := w.Store.Copy()
+	for range lostChanges {
+		w.Rewrite()
+	}
+	for _, n := range nodes {
+		for _, kind := range []string{"Bundles", "Registrations"} {
+			name := fmt.Sprintf("fescueshed_store_revision{kind=%q}", kind)
+			g.Eventually(func() int { return n.metric(t, name) }, patience).Should(BeEquivalentTo(w.Store.Revision()))
+		}
+	}
+	restore()
+}
+
+// Guards against draining upstreams that go unheard after the store came back from a copy: the drain is written
+// under a revision that was given out before.
+func TestDrainUnderAReusedRevisionIsHeard(t *testing.T) {
+	g := NewWithT(t)
+	w := openWorld(t, world.Options{Seed: 1, Hosts: 3, Upstreams: 12})
+	nodes := openAll(t, w)
+	restoreStore(t, w, nodes)
+	g.Expect(w.DrainServer()).To(BeTrue())
+	for _, n := range nodes {
+		g.Eventually(n.Takes, patience).Should(Equal(11))
+	}
+}
--- a/internal/standin/metadata/store.go
+++ b/internal/standin/metadata/store.go
@@ -42,6 +42,8 @@
 	objects  map[string]map[string]object
 	events   map[string][]storedEvent
 	revision uint64
+	// era rises each time the store comes back from a copy.
+	era uint64
 	// forgotten is the revision up to which the history is gone.
 	forgotten uint64
 	changed   chan struct{}
@@ -55,6 +57,7 @@
 type copied struct {
 	objects  map[string]map[string]object
 	revision uint64
+	era      uint64
 }
 
 // object is a stored object as it goes out. It is bytes, since other writers may have put
@@ -94,12 +97,54 @@
 func (s *Store) Lag() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.stale = &copied{objects: make(map[string]map[string]object), revision: s.revision}
+	s.stale = s.copy()
+}
+
+// copy returns the present content. s.mu is held.
+func (s *Store) copy() *copied {
+	c := &copied{objects: make(map[string]map[string]object), revision: s.revision, era: s.era}
 	for kind, objects := range s.objects {
-		s.stale.objects[kind] = maps.Clone(objects)
+		c.objects[kind] = maps.Clone(objects)
+	}
+	return c
+}
+
+// Copy makes a copy and returns what lets the store come back from it: all that was acknowledged since is gone,
+// its revisions are given out again, and a watch from one that isn't there is answered that the history is gone.
+func (s *Store) Copy() (restore func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := s.copy()
+	return func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		for kind, events := range s.events {
+			s.events[kind] = slices.DeleteFunc(events, func(e storedEvent) bool { return e.revision > c.revision })
+		}
+		s.era++
+		s.revision, s.objects = c.revision, make(map[string]map[string]object)
+		for kind, objects := range c.objects {
+			s.objects[kind] = maps.Clone(objects)
+		}
+		close(s.changed)
+		s.changed = make(chan struct{})
 	}
 }
 
+// Era returns how often the store came back from a copy.
+func (s *Store) Era() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.era
+}
+
+// Revision returns the revision of the last change.
+func (s *Store) Revision() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.revision
+}
+
 // Calls returns how often the store was called.
 func (s *Store) Calls() int {
 	s.mu.Lock()
@@ -191,6 +236,7 @@
 func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.count()
 	t := s.troubleFor(r)
+	tellEra(w, s.Era())
 	switch {
 	case t.Reset:
 		panic(http.ErrAbortHandler)
@@ -288,7 +334,7 @@
 
 func (s *Store) list(w http.ResponseWriter, kind, after string, stale bool) {
 	s.mu.Lock()
-	from := &copied{objects: s.objects, revision: s.revision}
+	from := &copied{objects: s.objects, revision: s.revision, era: s.era}
 	if stale && s.stale != nil {
 		from = s.stale
 	}
@@ -304,6 +350,7 @@
 		p.Items = append(p.Items, from.objects[kind][name].body)
 	}
 	s.mu.Unlock()
+	tellEra(w, from.era)
 	answer(w, &p)
 }
 
@@ -317,7 +364,7 @@
 	}
 	timeout := time.After(time.Duration(wait) * time.Millisecond)
 	for {
-		p, gone, changed := s.since(kind, from)
+		p, gone, changed := s.since(w, kind, from)
 		if gone {
 			w.WriteHeader(http.StatusGone)
 			return
@@ -339,11 +386,12 @@
 }
 
 // since returns the events after a revision, whether the history is gone, and what
-// is closed at the next change.
-func (s *Store) since(kind string, from uint64) (*wire.Page, bool, chan struct{}) {
+// is closed at the next change. It tells the era that they are of.
+func (s *Store) since(w http.ResponseWriter, kind string, from uint64) (*wire.Page, bool, chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if from < s.forgotten {
+	tellEra(w, s.era)
+	if from < s.forgotten || from > s.revision {
 		return nil, true, nil
 	}
 	if s.trouble.Deaf {
@@ -358,6 +406,9 @@
 	return p, false, s.changed
 }
 
+// tellEra puts the era of what an answer says into its head.
+func tellEra(w http.ResponseWriter, era uint64) { w.Header().Set(wire.HeaderEra, strconv.FormatUint(era, 10)) }
+
 func answer[T any](w http.ResponseWriter, p *T) {
 	b, err := json.Marshal(p, outgoing)
 	if err != nil {
