--- a/internal/standin/metadata/store.go
+++ b/internal/standin/metadata/store.go
@@ -407,7 +407,9 @@
 }
 
 // tellEra puts the era of what an answer says into its head.
-func tellEra(w http.ResponseWriter, era uint64) { w.Header().Set(wire.HeaderEra, strconv.FormatUint(era, 10)) }
+func tellEra(w http.ResponseWriter, era uint64) {
+	w.Header().Set(wire.HeaderEra, strconv.FormatUint(era, 10))
+}
 
 func answer[T any](w http.ResponseWriter, p *T) {
 	b, err := json.Marshal(p, outgoing)
--- a/internal/version/objects/listing.go
+++ b/internal/version/objects/listing.go
@@ -51,4 +51,6 @@
 }
 
 // Snapshot returns what was gathered.
-func (l *Listing[T]) Snapshot() Snapshot[T] { return Snapshot[T]{Objects: l.objects, AsOf: l.asOf, Era: l.era} }
+func (l *Listing[T]) Snapshot() Snapshot[T] {
+	return Snapshot[T]{Objects: l.objects, AsOf: l.asOf, Era: l.era}
+}
