objects, carrier: what is known of the store is ordered by its era first

Callers saw: flows placed at an upstream 3.1 and 3.3 s after its drain was acknowledged (bound 3 s), on all nine hosts.

Cause: the store came back from a copy, and gave out revisions again. Daemons ordered its words by the revision alone, so each refused the list and the changes of the time after, the drain among them, until the numbers had passed what it knew; the watch had moved on by then, so the drain was never told again.

Ruled out: a gap between list and watch (the watch was up since 19.2 s), news or placing that lose a drain (the one at 26.0 s was respected in 0.2 s).

Why it works: a position is the era and the revision in one ordered number, made in one place of the adapter from Store-Era. Any word of a later era supersedes all of an earlier one, whichever comes last; a watch that is answered in another era, and a list whose pages are of two, have no history and are listed anew; changes of one era never go onto a list of another, between daemons neither. While the store is in its first era, each number is what it was, on the wire too.

Bundles and evacuations are ordered the same way, and contacts are read again in a new era.

--- a/internal/connection/cookie/differential_test.go
+++ b/internal/connection/cookie/differential_test.go
@@ -25,7 +25,7 @@
 	// truth is the store's list; each engine is told it late.
 	truth    map[bundle.UpstreamID]registry.Registration
 	left     map[bundle.UpstreamID]bool
-	revision objects.Revision
+	revision objects.Position
 	naive    map[*caller]bundle.UpstreamID
 	// late are entries on their way to the store.
 	late []lateEntry
--- a/internal/connection/cookie/world_test.go
+++ b/internal/connection/cookie/world_test.go
@@ -73,7 +73,7 @@
 	return registry.Registration{
 		ID: bundle.UpstreamID(0xabc000 + n), Service: "feed", Zone: ownZone, Slots: 2,
 		Address: netip.MustParseAddrPort(fmt.Sprintf("10.0.0.%d:8080", n)),
-		Created: objects.Revision(n), Revision: objects.Revision(n),
+		Created: objects.Position(n), Revision: objects.Position(n),
 	}
 }
 
--- a/internal/connection/peer/news.go
+++ b/internal/connection/peer/news.go
@@ -23,12 +23,12 @@
 	// Doubt is for how long the sender keeps upstreams that vanish from the store.
 	Doubt time.Duration
 	// AsOf and Digest identify the sender's registrations, see registry.Catalog.
-	AsOf   objects.Revision
+	AsOf   objects.Position
 	Digest uint64
 	// Bundle is the version that the sender has in force, BundleAsOf the revision up to which the
 	// store is known to have no newer one.
 	Bundle     bundle.Version
-	BundleAsOf objects.Revision
+	BundleAsOf objects.Position
 	Changes    []registry.Change
 	Evacuated  EvacuatedNews
 }
@@ -120,7 +120,7 @@
 // nothing count as heard: a member that can't fetch the rest from the sender must
 // read the store itself, however fresh the news are, or it would keep an old bundle
 // for as long as they come.
-func (n *News) Lacks(version bundle.Version, asOf objects.Revision, digest uint64) (bundle, list bool) {
+func (n *News) Lacks(version bundle.Version, asOf objects.Position, digest uint64) (bundle, list bool) {
 	return n.Bundle > version, n.AsOf >= asOf && n.Digest != digest
 }
 
@@ -181,9 +181,9 @@
 	// Version is the bundle that the sender has in force, BundleAsOf as that of News. Update leads
 	// there from what the asker has; it is empty if that is this version or a newer one.
 	Version    bundle.Version
-	BundleAsOf objects.Revision
+	BundleAsOf objects.Position
 	Update     PackedUpdate
-	AsOf       objects.Revision
+	AsOf       objects.Position
 	Digest     uint64
 	Doubt      time.Duration
 	// Evacuated are all evacuated zones that the sender knows.
@@ -240,7 +240,7 @@
 	// Version is the bundle that the asker has in force, AsOf and Digest what it
 	// knows of registrations.
 	Version bundle.Version
-	AsOf    objects.Revision
+	AsOf    objects.Position
 	Digest  uint64
 	// Whole asks for the whole list: the changes didn't lead to the same digest.
 	Whole bool
--- a/internal/connection/peer/reader_test.go
+++ b/internal/connection/peer/reader_test.go
@@ -155,7 +155,7 @@
 	// zone's word, and routes by the old bundle for good.
 	It("lack what they announce and the member doesn't hold", func() {
 		n := peer.News{Bundle: 7, AsOf: 100, Digest: 5}
-		lacks := func(v bundle.Version, asOf objects.Revision, digest uint64) [2]bool {
+		lacks := func(v bundle.Version, asOf objects.Position, digest uint64) [2]bool {
 			b, l := n.Lacks(v, asOf, digest)
 			return [2]bool{b, l}
 		}
--- a/internal/process/capacity/cookie.go
+++ b/internal/process/capacity/cookie.go
@@ -36,7 +36,7 @@
 	binary.BigEndian.PutUint32(ip[:], 10<<24|uint32(i))
 	return registry.Registration{
 		ID: bundle.UpstreamID(i + 1), Service: cookieService, Zone: cookieZone, Slots: 2,
-		Address: netip.AddrPortFrom(netip.AddrFrom4(ip), 8080), Revision: objects.Revision(i + 1),
+		Address: netip.AddrPortFrom(netip.AddrFrom4(ip), 8080), Revision: objects.Position(i + 1),
 	}
 }
 
@@ -58,7 +58,7 @@
 	for i := range n {
 		list = append(list, cookieRegistration(i))
 	}
-	c.Replace(list, objects.Revision(n+1), now)
+	c.Replace(list, objects.Position(n+1), now)
 	e.Update(c.TakeChanges(), now)
 	e.Confirm(now)
 	return e, c
@@ -125,7 +125,7 @@
 		began = time.Now()
 		for i := range rounds {
 			r := cookieRegistration(i % n)
-			r.Revision = objects.Revision(n + i + 2)
+			r.Revision = objects.Position(n + i + 2)
 			c.Apply([]registry.Change{{Registration: r}}, r.Revision, now)
 			e.Update(c.TakeChanges(), now)
 		}
--- a/internal/process/carrier/bundle.go
+++ b/internal/process/carrier/bundle.go
@@ -10,10 +10,10 @@
 	"github.com/fescueshed/fescueshed/internal/version/objects"
 )
 
-// knownBundle returns the revision from which the store's bundles are to be watched, zero if they
+// knownBundle returns the position from which the store's bundles are to be watched, zero if they
 // must be listed. A daemon that takes over from one that died holds the bundle already: on a thin
 // link a list of it takes longer than the take-over may.
-func (c *Carrier) knownBundle() objects.Revision {
+func (c *Carrier) knownBundle() objects.Position {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.ready() {
@@ -134,17 +134,17 @@
 	return c.known.history.Now()
 }
 
-// confirmBundle notes that this daemon itself has read which bundle is the newest, as of a revision.
-func (c *Carrier) confirmBundle(at time.Time, asOf objects.Revision) {
+// confirmBundle notes that this daemon itself has read which bundle is the newest, as of a position.
+func (c *Carrier) confirmBundle(at time.Time, asOf objects.Position) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.confirmBundleAt(at, asOf)
 	c.readHere()
 }
 
-// confirmBundleAt notes as of when, and as of which revision, the bundle in force is the newest.
+// confirmBundleAt notes as of when, and as of which position, the bundle in force is the newest.
 // c.mu is held.
-func (c *Carrier) confirmBundleAt(at time.Time, asOf objects.Revision) {
+func (c *Carrier) confirmBundleAt(at time.Time, asOf objects.Position) {
 	c.known.confirm(kindBundles, at)
 	c.known.bundleAsOf = max(c.known.bundleAsOf, asOf)
 }
--- a/internal/process/carrier/carrier.go
+++ b/internal/process/carrier/carrier.go
@@ -72,7 +72,7 @@
 	// unusable counts stored objects that couldn't be used, each time they were read.
 	unusable  atomic.Uint64
 	departure departure
-	history   storeHistory
+	outdated  outdated
 
 	// mu guards what follows.
 	mu      sync.Mutex
--- a/internal/process/carrier/evacuation.go
+++ b/internal/process/carrier/evacuation.go
@@ -75,7 +75,7 @@
 
 // knownEvacuations returns the revision from which evacuations are to be watched, zero if they must be
 // listed.
-func (c *Carrier) knownEvacuations() objects.Revision {
+func (c *Carrier) knownEvacuations() objects.Position {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.ready() {
--- a/internal/process/carrier/follower.go
+++ b/internal/process/carrier/follower.go
@@ -30,7 +30,7 @@
 	changes func(objects.Changes[T], time.Time)
 	// known returns the revision from which the kind is known by what others told, zero if it
 	// must be listed. It may be nil.
-	known func() objects.Revision
+	known func() objects.Position
 	// long says that the kind may take many pages to list.
 	long bool
 }
@@ -51,17 +51,19 @@
 	stalls objects.Stalls
 	// starting says that the list was begun before the daemon could place flows.
 	starting bool
-	// lines bounds the lines about objects that can't be used.
-	lines *logs.Limiter
+	// listedFrom is the position as of which the kind was known when the list in progress was begun.
+	listedFrom objects.Position
+	// lines bounds the lines about objects that can't be used, outdated those about outdated answers.
+	lines, outdated *logs.Limiter
 }
 
 func newFollower[T any](c *Carrier, k kind, feed objects.Feed[T], in intake[T]) *follower[T] {
-	return &follower[T]{intake: in, c: c, kind: k, feed: feed, lines: logs.NewLimiter(unusableLines)}
+	return &follower[T]{intake: in, c: c, kind: k, feed: feed, lines: logs.NewLimiter(unusableLines), outdated: newOutdatedLimiter()}
 }
 
 func (f *follower[T]) run(ctx context.Context) {
 	// Zero means that the kind is to be listed.
-	var asOf objects.Revision
+	var asOf objects.Position
 	failures := 0
 	for ctx.Err() == nil {
 		if !f.c.reads(time.Now()) {
@@ -83,19 +85,28 @@
 				sleep(ctx, batchPause)
 			}
 		case eris.Is(err, objects.ErrHistoryGone):
-			klog.InfoS("Store dropped its history", "Kind", f.kind, "AsOf", asOf)
+			klog.InfoS("Store dropped its history", "Kind", f.kind, "AsOf", asOf, "Error", err.Error())
 			asOf, f.listing, f.fresh = 0, nil, true
+			if failures > 0 {
+				f.pause(ctx, failures)
+			}
+			failures++
 		case asOf != 0 && f.listsInstead(err, began):
 			klog.InfoS("Store can't be watched, it is listed", "Kind", f.kind, "AsOf", asOf, "Error", err.Error())
 			asOf, f.listing, f.fresh = 0, nil, true
 		default:
 			f.fails(err)
-			sleep(ctx, peer.RetryPause(f.c.members.view.Load().ReaderRank(), failures, rand.Float64()))
+			f.pause(ctx, failures)
 			failures++
 		}
 	}
 }
 
+// pause waits after so many failed calls in a row.
+func (f *follower[T]) pause(ctx context.Context, failures int) {
+	sleep(ctx, peer.RetryPause(f.c.members.view.Load().ReaderRank(), failures, rand.Float64()))
+}
+
 // listsInstead reports whether a watch that failed is to be given up for a list: it would bring too
 // much, or the store, which answers other calls, doesn't answer it.
 func (f *follower[T]) listsInstead(err error, began time.Time) bool {
@@ -112,7 +123,7 @@
 
 // step lists or watches once and takes in what that brings. A daemon that starts waits a little
 // after its list for the other kind's: once both are there, another may follow the store.
-func (f *follower[T]) step(ctx context.Context, asOf objects.Revision) (objects.Revision, bool, error) {
+func (f *follower[T]) step(ctx context.Context, asOf objects.Position) (objects.Position, bool, error) {
 	if asOf == 0 {
 		next, err := f.listAll(ctx)
 		if err == nil {
@@ -120,13 +131,14 @@
 		}
 		return next, err == nil, err
 	}
+	before := f.c.knownAsOf(f.kind)
 	ch, err := f.feed.Watch(ctx, asOf, time.Duration(f.c.cfg.Load().WatchWait))
 	if err != nil {
 		return asOf, false, err
 	}
+	f.checkAnswer(ch.AsOf, before, time.Now())
 	f.answered()
 	f.reportChanges(&ch)
-	f.c.noteAnswer(f.kind, ch.Era, ch.AsOf)
 	f.changes(ch, time.Now())
 	return ch.AsOf, len(ch.List) > 0, nil
 }
@@ -136,9 +148,10 @@
 // of power, fresh ones are more than the store allows: hosts times pages. Any other daemon takes fresh pages: a store that
 // drops its history is stale and deaf at once, and the list would be taken for complete
 // though it lacks seconds.
-func (f *follower[T]) listAll(ctx context.Context) (objects.Revision, error) {
+func (f *follower[T]) listAll(ctx context.Context) (objects.Position, error) {
 	if f.listing == nil {
 		f.starting = !f.c.start.ready.happened()
+		f.listedFrom = f.c.knownAsOf(f.kind)
 		f.listing = objects.NewListing[T](f.long && !f.fresh && f.starting)
 	}
 	for !f.listing.Done() {
@@ -152,7 +165,9 @@
 			return 0, err
 		}
 		f.report(p.Findings, p.Objects)
-		f.listing.Add(p)
+		if err := f.listing.Add(p); err != nil {
+			return 0, err
+		}
 	}
 	s := f.listing.Snapshot()
 	late := objects.Changes[T]{AsOf: s.AsOf}
@@ -171,7 +186,7 @@
 	f.listing, f.fresh = nil, false
 	f.answered()
 	now := time.Now()
-	f.c.noteAnswer(f.kind, s.Era, s.AsOf)
+	f.checkAnswer(late.AsOf, f.listedFrom, now)
 	f.list(s, now)
 	f.changes(late, now)
 	return late.AsOf, nil
--- a/internal/process/carrier/follower_test.go
+++ b/internal/process/carrier/follower_test.go
@@ -25,7 +25,7 @@
 	return objects.Page[int]{AsOf: 9}, nil
 }
 
-func (*busyFeed) Watch(context.Context, objects.Revision, time.Duration) (objects.Changes[int], error) {
+func (*busyFeed) Watch(context.Context, objects.Position, time.Duration) (objects.Changes[int], error) {
 	return objects.Changes[int]{}, objects.ErrTooLarge
 }
 
@@ -33,7 +33,7 @@
 // than an answer may have. It asks for just that again and again, and never serves.
 func TestFollowerListsAnewIfTooMuchChangedSinceStalePages(t *testing.T) {
 	g := NewWithT(t)
-	var listed objects.Revision
+	var listed objects.Position
 	f := &follower[int]{
 		c:    &Carrier{start: newStartup(time.Now(), false), known: knowledge{catalog: registry.NewCatalog()}},
 		feed: &busyFeed{},
@@ -75,7 +75,7 @@
 				},
 			}
 			if tc.told {
-				f.known = func() objects.Revision { return 0 }
+				f.known = func() objects.Position { return 0 }
 			}
 			if tc.ready {
 				f.c.start.ready.happen()
--- a/internal/process/carrier/http.go
+++ b/internal/process/carrier/http.go
@@ -91,13 +91,11 @@
 			return time.Since(c.known.confirmed[k]).Seconds()
 		})
 	}
-	s.NewGauge("fescueshed_store_era", func() float64 { return float64(c.history.era.Load()) })
+	s.NewGauge("fescueshed_store_era", func() float64 { return float64(c.storeEra()) })
 	for k := range numKinds {
-		count(fmt.Sprintf("fescueshed_store_answers_outdated_total{kind=%q}", k), c.history.outdated[k].Load)
+		count(fmt.Sprintf("fescueshed_store_answers_outdated_total{kind=%q}", k), c.outdated[k].Load)
 		s.NewGauge(fmt.Sprintf("fescueshed_store_revision{kind=%q}", k), func() float64 {
-			c.mu.Lock()
-			defer c.mu.Unlock()
-			return float64(c.known.asOf(k))
+			return float64(c.knownAsOf(k).Revision())
 		})
 	}
 	s.NewGauge("fescueshed_store_age_seconds", func() float64 {
--- a/internal/process/carrier/knowledge.go
+++ b/internal/process/carrier/knowledge.go
@@ -27,12 +27,15 @@
 // knowledge is what this daemon knows of the store's content, and as of when: from its own calls or
 // from other daemons. It isn't safe for concurrent use; Carrier.mu guards it.
 type knowledge struct {
-	// history holds the bundle in force and what led to it, bundleAsOf is the revision up to which
+	// history holds the bundle in force and what led to it, bundleAsOf is the position up to which
 	// the store is known to have no newer one.
 	history    bundle.History
-	bundleAsOf objects.Revision
+	bundleAsOf objects.Position
 	catalog    *registry.Catalog
 	evacuated  evacuation.Zones
+	// era is the latest era of the store that was heard of, eraSince since when it is known.
+	era      objects.Era
+	eraSince time.Time
 	// lacksWholeBundle and lacksWholeList are set if what another daemon told didn't lead to its
 	// bundle or to its list.
 	lacksWholeBundle, lacksWholeList bool
@@ -43,8 +46,17 @@
 	failing, answered time.Time
 }
 
-// asOf returns the revision as of which a kind is known.
-func (k *knowledge) asOf(of kind) objects.Revision {
+// seeEra notes the era that an answer or a message tells, and reports whether it is a later one than was known.
+func (k *knowledge) seeEra(e objects.Era, now time.Time) bool {
+	if e <= k.era {
+		return false
+	}
+	k.era, k.eraSince = e, now
+	return true
+}
+
+// asOf returns the position as of which a kind is known.
+func (k *knowledge) asOf(of kind) objects.Position {
 	switch of {
 	case kindBundles:
 		return k.bundleAsOf
--- a/internal/process/carrier/relay.go
+++ b/internal/process/carrier/relay.go
@@ -53,7 +53,7 @@
 // word is what news say, to tell new ones from those that came by the other tree.
 type word struct {
 	bundle bundle.Version
-	asOf   objects.Revision
+	asOf   objects.Position
 	digest uint64
 	// evacuated is the digest of the evacuated zones.
 	evacuated uint64
--- a/internal/process/carrier/restored_test.go
+++ b/internal/process/carrier/restored_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 
@@ -57,3 +59,43 @@
 		g.Eventually(n.Takes, patience).Should(Equal(11))
 	}
 }
+
+// Guards against zones that go on getting flows after the store came back from a copy: their evacuation is written
+// under a revision that was given out before.
+func TestEvacuationUnderAReusedRevisionIsHeard(t *testing.T) {
+	g := NewWithT(t)
+	w := openWorld(t, world.Options{Seed: 1, Hosts: 3, Upstreams: 12})
+	nodes := openAll(t, w)
+	restoreStore(t, w, nodes)
+	w.Evacuate("zone-2")
+	g.Eventually(evacuatedAt(nodes, "zone-2"), patience).Should(BeTrue())
+}
+
+// Guards against a drain that goes unheard since the daemon that reads the store for all is lost as the store comes
+// back, or since it comes back twice in a row, or since a zone that was cut off still holds the era before.
+func TestDrainIsHeardThoughTroublesMeetTheReturn(t *testing.T) {
+	for name, meet := range map[string]func(w *world.World, reader *node){
+		"the reader is cut off":   func(_ *world.World, reader *node) { reader.host.Proxy.Set(world.LinkSilent) },
+		"the store returns twice": func(w *world.World, _ *node) { w.Store.Copy()() },
+		"a zone is cut off from the others and the store": func(w *world.World, _ *node) {
+			h := w.Hosts[2]
+			h.Proxy.Set(world.LinkSilent)
+			w.CutZone(h.Zone, 2*time.Second)
+			time.AfterFunc(2*time.Second, func() { h.Proxy.Set(world.LinkGood) })
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			w := openWorld(t, world.Options{Seed: 1, Hosts: 3, Upstreams: 12})
+			nodes := openAll(t, w)
+			g.Eventually(func() int { return readers(nodes) }, patience).Should(Equal(1))
+			reader := nodes[slices.IndexFunc(nodes, func(n *node) bool { return n.Reads() })]
+			restoreStore(t, w, nodes)
+			meet(w, reader)
+			g.Expect(w.DrainServer()).To(BeTrue())
+			for _, n := range nodes {
+				g.Eventually(n.Takes, patience).Should(Equal(11))
+			}
+		})
+	}
+}
--- a/internal/process/carrier/store.go
+++ b/internal/process/carrier/store.go
@@ -116,9 +116,9 @@
 // in rank, and a call that hangs.
 const failingFor = 3 * time.Second
 
-// knownList returns the revision as of which the list of upstreams is known as a whole, zero if
+// knownList returns the position as of which the list of upstreams is known as a whole, zero if
 // it isn't.
-func (c *Carrier) knownList() objects.Revision {
+func (c *Carrier) knownList() objects.Position {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.ready() || c.known.lacksWholeList {
--- a/internal/standin/emulator/host.go
+++ b/internal/standin/emulator/host.go
@@ -174,7 +174,7 @@
 }
 
 // learn takes in a changed entry.
-func (h *host) learn(ch registry.Change, asOf objects.Revision) {
+func (h *host) learn(ch registry.Change, asOf objects.Position) {
 	if !h.ready {
 		return // It reads the whole list when it starts.
 	}
--- a/internal/standin/emulator/play.go
+++ b/internal/standin/emulator/play.go
@@ -30,7 +30,7 @@
 	servers []*server
 	classes []*class
 	// revision is that of the list of upstreams, nextID the last identifier given.
-	revision objects.Revision
+	revision objects.Position
 	nextID   bundle.UpstreamID
 	// byKey are the flows that aren't closed.
 	byKey  map[cookie.Key]*flow
--- a/internal/standin/emulator/server.go
+++ b/internal/standin/emulator/server.go
@@ -24,7 +24,7 @@
 	// born is when it started, started when it was cold last.
 	born, started time.Duration
 	warmup        time.Duration
-	revision      objects.Revision
+	revision      objects.Position
 	flows         map[*flow]bool
 	working       int
 	queue         []*try
@@ -87,10 +87,10 @@
 }
 
 // entry returns what the upstream writes of itself.
-func (s *server) entry(at objects.Revision) registry.Registration {
+func (s *server) entry(at objects.Position) registry.Registration {
 	return registry.Registration{
 		ID: s.id, Service: s.service.Name, Address: s.address, Zone: s.zone.Name, Slots: s.service.Slots,
-		Draining: s.draining, Warmup: max(0, s.started+s.warmup-s.w.now), Created: objects.Revision(s.id), Revision: at,
+		Draining: s.draining, Warmup: max(0, s.started+s.warmup-s.w.now), Created: objects.Position(s.id), Revision: at,
 		Born: registry.UnixMilli(epoch.Add(s.born).UnixMilli()), Sequence: 1,
 	}
 }
--- a/internal/version/evacuation/evacuation.go
+++ b/internal/version/evacuation/evacuation.go
@@ -12,18 +12,18 @@
 	"github.com/fescueshed/fescueshed/internal/version/objects"
 )
 
-// Zones are the evacuated zones as of one revision of the store. They are few and travel whole: whoever
-// holds those of a revision lacks nothing of the revisions before it. The zero value is none, as
-// of no revision. It isn't safe for concurrent use.
+// Zones are the evacuated zones as of one position in the store's history. They are few and travel whole: whoever
+// holds those of a position lacks nothing of the positions before it. The zero value is none, as
+// of no position. It isn't safe for concurrent use.
 type Zones struct {
 	_    struct{} `cbor:",toarray"`
-	AsOf objects.Revision
+	AsOf objects.Position
 	// List is in order and holds each zone once.
 	List []bundle.Zone
 }
 
 // NewZones returns the zones of a list as of a revision.
-func NewZones(list []bundle.Zone, asOf objects.Revision) Zones {
+func NewZones(list []bundle.Zone, asOf objects.Position) Zones {
 	list = slices.Clone(list)
 	slices.Sort(list)
 	return Zones{AsOf: asOf, List: slices.Compact(list)}
@@ -42,7 +42,7 @@
 }
 
 // After returns the zones once changes up to a revision have been made to these.
-func (z *Zones) After(changes []Change, asOf objects.Revision) Zones {
+func (z *Zones) After(changes []Change, asOf objects.Position) Zones {
 	list := slices.Clone(z.List)
 	for _, ch := range changes {
 		list = slices.DeleteFunc(list, func(o bundle.Zone) bool { return o == ch.Zone })
--- a/internal/version/objects/feed.go
+++ b/internal/version/objects/feed.go
@@ -7,20 +7,12 @@
 	"github.com/rotisserie/eris"
 )
 
-// Revision is the store's counter of changes. It grows with each change of any
-// object. Zero is before the first.
-type Revision uint64
-
-// Era counts how often the store came back from a copy of itself. What it acknowledged after the copy
-// is gone, and revisions are given out again. Zero is a store that never did, or doesn't tell.
-type Era uint32
-
 // Object is one stored object of a kind whose content is decoded to T.
 type Object[T any] struct {
 	Name string
-	// Revision is that of the object's last change, Created that of its creation. Either
-	// is zero if it can't be read.
-	Revision, Created Revision
+	// Revision is the position of the object's last change, Created that of its creation, both in the era
+	// of the answer that holds the object. Either is zero if it can't be read.
+	Revision, Created Position
 	Value             T
 	// Err says why the content can't be used, nil if it can. Value then holds what is
 	// known all the same, such as which upstream the object stands for.
@@ -30,8 +22,7 @@
 // Page is a part of a list.
 type Page[T any] struct {
 	Objects []Object[T]
-	AsOf    Revision
-	Era     Era
+	AsOf    Position
 	// Next is where the list goes on. It is empty on the last page.
 	Next string
 	// Findings tell of items that don't even have a name. Those that have one are among
@@ -55,8 +46,7 @@
 // Snapshot is a whole kind as it was at one revision.
 type Snapshot[T any] struct {
 	Objects []Object[T]
-	AsOf    Revision
-	Era     Era
+	AsOf    Position
 }
 
 // Change is one event of a watch.
@@ -70,8 +60,7 @@
 // Changes are the events up to a revision, in their order. They may be none.
 type Changes[T any] struct {
 	List []Change[T]
-	AsOf Revision
-	Era  Era
+	AsOf Position
 	// Findings are as those of a Page.
 	Findings []error
 }
@@ -79,8 +68,8 @@
 // The outcomes that callers tell apart. Any other error says nothing of the
 // store's content.
 var (
-	// ErrHistoryGone means that the store forgot the revision that was watched
-	// from: the kind is to be listed again.
+	// ErrHistoryGone means that the store doesn't have the history that was watched from: it forgot
+	// that, or came back from a copy. The kind is to be listed again.
 	ErrHistoryGone = eris.New("objects: the store no longer has this history")
 	// ErrConflict means that the object isn't as the condition of a write said.
 	ErrConflict = eris.New("objects: the object was changed by another")
@@ -93,7 +82,7 @@
 type Feed[T any] interface {
 	// List returns a page of all objects.
 	List(ctx context.Context, o ListOptions) (Page[T], error)
-	// Watch returns what changed after a revision as soon as anything did, or
-	// nothing after the wait, which may be zero.
-	Watch(ctx context.Context, after Revision, wait time.Duration) (Changes[T], error)
+	// Watch returns what changed after a position as soon as anything did, or
+	// nothing after the wait, which may be zero. An answer of another era is ErrHistoryGone.
+	Watch(ctx context.Context, after Position, wait time.Duration) (Changes[T], error)
 }
--- a/internal/version/objects/listing.go
+++ b/internal/version/objects/listing.go
@@ -1,13 +1,14 @@
 package objects
 
+import "github.com/rotisserie/eris"
+
 // Listing gathers the pages of one list. If a call fails, the list goes on with the
 // page that failed: one that began anew would never end at a store that refuses a part
 // of all calls, and would add to what the store is short of. It isn't safe for
 // concurrent use.
 type Listing[T any] struct {
 	objects []Object[T]
-	asOf    Revision
-	era     Era
+	asOf    Position
 	next    string
 	begun   bool
 	// stale says that pages after the first may be some seconds old, staleFirst that the
@@ -36,21 +37,25 @@
 // since, as some page may be old.
 func (l *Listing[T]) Lacks() bool { return l.lacks }
 
-// Add takes in the next page.
-func (l *Listing[T]) Add(p Page[T]) {
+// Add takes in the next page. It returns ErrHistoryGone if the page is of another era than those before it:
+// together they are a list that the store never had.
+func (l *Listing[T]) Add(p Page[T]) error {
+	if l.begun && p.AsOf.Era() != l.asOf.Era() {
+		return eris.Wrapf(ErrHistoryGone, "a page as of %v in a list as of %v", p.AsOf, l.asOf)
+	}
 	// Pages may be of different revisions. What changed after the oldest is seen again
 	// by a watch from there; changes that are known already change nothing.
 	if !l.begun || p.AsOf < l.asOf {
 		l.asOf = p.AsOf
 	}
-	l.era = p.Era
 	l.lacks = l.lacks || l.Next().Stale
 	l.begun = true
 	l.objects = append(l.objects, p.Objects...)
 	l.next = p.Next
+	return nil
 }
 
 // Snapshot returns what was gathered.
 func (l *Listing[T]) Snapshot() Snapshot[T] {
-	return Snapshot[T]{Objects: l.objects, AsOf: l.asOf, Era: l.era}
+	return Snapshot[T]{Objects: l.objects, AsOf: l.asOf}
 }
--- a/internal/version/objects/listing_test.go
+++ b/internal/version/objects/listing_test.go
@@ -8,7 +8,7 @@
 	"github.com/fescueshed/fescueshed/internal/version/objects"
 )
 
-func page(asOf objects.Revision, next string, names ...string) objects.Page[int] {
+func page(asOf objects.Position, next string, names ...string) objects.Page[int] {
 	p := objects.Page[int]{AsOf: asOf, Next: next}
 	for _, n := range names {
 		p.Objects = append(p.Objects, objects.Object[int]{Name: n})
@@ -73,7 +73,7 @@
 			for _, p := range pages {
 				l.Add(p)
 			}
-			g.Expect(l.Snapshot().AsOf).To(Equal(objects.Revision(5)))
+			g.Expect(l.Snapshot().AsOf).To(Equal(objects.Position(5)))
 		})
 	}
 }
--- /dev/null
+++ b/internal/version/objects/position_test.go
@@ -0,0 +1,59 @@
+package objects_test
+
+import (
+	"math"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/fescueshed/fescueshed/internal/version/objects"
+)
+
+func at(era objects.Era, revision uint64) objects.Position {
+	p, err := objects.NewPosition(era, revision)
+	if err != nil {
+		panic(err) // Tests name positions that there are.
+	}
+	return p
+}
+
+// Guards against a word of an earlier era that goes over a later one since its revision is higher.
+func TestPositionsAreOrderedByTheirEraFirst(t *testing.T) {
+	g := NewWithT(t)
+	for _, p := range []struct{ before, after objects.Position }{
+		{0, at(0, 1)}, {at(0, 26), at(0, 27)}, {at(0, 27), at(1, 0)}, {at(1, 20), at(1, 21)}, {at(1, 1<<40-1), at(2, 1)},
+	} {
+		g.Expect(p.before < p.after).To(BeTrue(), "%v, %v", p.before, p.after)
+		g.Expect(p.after.String()).NotTo(Equal(p.before.String()))
+	}
+	g.Expect(at(7, 19).Era()).To(BeEquivalentTo(7))
+	g.Expect(at(7, 19).Revision()).To(BeEquivalentTo(19))
+}
+
+// Guards against a number that spills over into the era, and makes a store seem to have come back from a copy.
+func TestPositionsOutOfRangeAreRefused(t *testing.T) {
+	for name, p := range map[string]struct {
+		era      objects.Era
+		revision uint64
+	}{
+		"revision": {0, 1 << 40}, "largest revision": {0, math.MaxUint64}, "era": {1 << 24, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			_, err := objects.NewPosition(p.era, p.revision)
+			NewWithT(t).Expect(err).To(MatchError(objects.ErrPosition))
+		})
+	}
+}
+
+// Guards against a list of pages from before and after a return of the store, which the store never had.
+func TestListingRefusesAPageOfAnotherEra(t *testing.T) {
+	for name, eras := range map[string][2]objects.Era{"the store came back": {0, 1}, "an old copy answers": {1, 0}} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			l := objects.NewListing[int](false)
+			g.Expect(l.Add(objects.Page[int]{AsOf: at(eras[0], 20), Next: "b"})).To(Succeed())
+			g.Expect(l.Add(objects.Page[int]{AsOf: at(eras[1], 20)})).To(MatchError(objects.ErrHistoryGone))
+			g.Expect(l.Done()).To(BeFalse())
+		})
+	}
+}
--- a/internal/version/registry/catalog.go
+++ b/internal/version/registry/catalog.go
@@ -9,11 +9,11 @@
 	"github.com/fescueshed/fescueshed/internal/version/objects"
 )
 
-// Catalog holds all registrations known, as of one revision. It has no clock and
+// Catalog holds all registrations known, as of one position of the store. It has no clock and
 // isn't safe for concurrent use.
 type Catalog struct {
-	// AsOf is the revision up to which every change is known.
-	AsOf    objects.Revision
+	// AsOf is the position up to which every change is known.
+	AsOf    objects.Position
 	entries map[bundle.UpstreamID]Registration
 	// digest is the sum over entries, see Digest, ready how many don't drain.
 	digest uint64
@@ -23,8 +23,8 @@
 	vanished map[bundle.UpstreamID]kept
 	// log holds the latest changes, for members that are a little behind.
 	log []logged
-	// forgotten is the revision up to which the log no longer has all changes.
-	forgotten objects.Revision
+	// forgotten is the position up to which the log no longer has all changes.
+	forgotten objects.Position
 	// changed are the upstreams that came, changed or went since TakeChanges.
 	changed map[bundle.UpstreamID]struct{}
 	// doubtUntil is the time up to which a vanished entry may be a lapse of the
@@ -39,7 +39,7 @@
 
 type logged struct {
 	at     time.Time
-	asOf   objects.Revision
+	asOf   objects.Position
 	change Change
 }
 
@@ -89,10 +89,21 @@
 }
 
 // Replace takes in a whole list. It reports whether anything changed.
-func (c *Catalog) Replace(list []Registration, asOf objects.Revision, now time.Time) bool {
+func (c *Catalog) Replace(list []Registration, asOf objects.Position, now time.Time) bool {
 	if asOf < c.AsOf {
 		return false
 	}
+	if c.AsOf != 0 && asOf.Era() != c.AsOf.Era() {
+		changed := c.advance(c.leadingTo(list), asOf, now)
+		// Whoever is behind by changes of an earlier era needs the whole list.
+		c.log, c.forgotten = nil, asOf
+		return changed
+	}
+	return c.advance(c.leadingTo(list), asOf, now)
+}
+
+// leadingTo returns the changes that lead to a list from the present one.
+func (c *Catalog) leadingTo(list []Registration) []Change {
 	var changes []Change
 	listed := make(map[bundle.UpstreamID]bool, len(list))
 	for _, r := range list {
@@ -104,15 +115,19 @@
 			changes = append(changes, Change{Registration: c.entries[id], Gone: true})
 		}
 	}
-	return c.Apply(changes, asOf, now)
+	return changes
 }
 
-// Apply takes in changes that lead from the present revision to asOf. It reports
-// whether anything changed.
-func (c *Catalog) Apply(changes []Change, asOf objects.Revision, now time.Time) bool {
-	if asOf < c.AsOf {
+// Apply takes in changes that lead from the present position to asOf. It reports
+// whether anything changed. Those of another era lead from a list that isn't the present one.
+func (c *Catalog) Apply(changes []Change, asOf objects.Position, now time.Time) bool {
+	if asOf < c.AsOf || c.AsOf != 0 && asOf.Era() != c.AsOf.Era() {
 		return false
 	}
+	return c.advance(changes, asOf, now)
+}
+
+func (c *Catalog) advance(changes []Change, asOf objects.Position, now time.Time) bool {
 	first := c.AsOf == 0
 	changed := c.take(changes, asOf, now)
 	c.AsOf = asOf
@@ -131,8 +146,8 @@
 // hundreds of upstreams are replaced, each answer to «what came after revision 100» would lead to
 // another digest than its sender's, and the whole list be asked for: 300 hosts with 3,000
 // upstreams sent 300 KB/s each.
-func (c *Catalog) Hear(changes []Change, asOf objects.Revision, digest uint64, now time.Time) bool {
-	if asOf < c.AsOf || c.AsOf == 0 {
+func (c *Catalog) Hear(changes []Change, asOf objects.Position, digest uint64, now time.Time) bool {
+	if asOf < c.AsOf || c.AsOf == 0 || asOf.Era() != c.AsOf.Era() {
 		return false
 	}
 	changes = c.withoutFormer(changes)
@@ -181,7 +196,7 @@
 	return out
 }
 
-func (c *Catalog) take(changes []Change, asOf objects.Revision, now time.Time) bool {
+func (c *Catalog) take(changes []Change, asOf objects.Position, now time.Time) bool {
 	c.doubtMass(changes, now)
 	changed := false
 	for i := range changes {
@@ -205,7 +220,7 @@
 	}
 }
 
-func (c *Catalog) apply(ch Change, asOf objects.Revision, now time.Time) bool {
+func (c *Catalog) apply(ch Change, asOf objects.Position, now time.Time) bool {
 	if !ch.Gone {
 		return c.put(ch.Registration, asOf, now)
 	}
@@ -224,7 +239,7 @@
 }
 
 // put takes in an entry that came or changed.
-func (c *Catalog) put(r Registration, asOf objects.Revision, now time.Time) bool {
+func (c *Catalog) put(r Registration, asOf objects.Position, now time.Time) bool {
 	old, known := c.entries[r.ID]
 	if !known {
 		// What vanished is still the last that was known of it.
@@ -269,7 +284,7 @@
 	}
 }
 
-func (c *Catalog) note(ch Change, asOf objects.Revision, now time.Time) {
+func (c *Catalog) note(ch Change, asOf objects.Position, now time.Time) {
 	if len(c.log) == maxLog {
 		half := maxLog / 2
 		c.forgotten = c.log[half-1].asOf
@@ -304,10 +319,10 @@
 	return out[max(0, len(out)-n):]
 }
 
-// Since returns the changes after a revision, oldest first, and whether the log has
+// Since returns the changes after a position, oldest first, and whether the log has
 // all of them. A member that lacks a few is sent these instead of the whole list: at
 // 3000 upstreams that is 150 KB for each member and each change that it missed.
-func (c *Catalog) Since(asOf objects.Revision) ([]Change, bool) {
+func (c *Catalog) Since(asOf objects.Position) ([]Change, bool) {
 	if asOf < c.forgotten || asOf == 0 {
 		return nil, false
 	}
--- a/internal/version/registry/catalog_test.go
+++ b/internal/version/registry/catalog_test.go
@@ -20,7 +20,7 @@
 func entry(n int) registry.Registration {
 	return registry.Registration{
 		ID: bundle.UpstreamID(n), Service: "feed", Zone: "a", Slots: 2,
-		Address: netip.MustParseAddrPort(fmt.Sprintf("10.0.0.%d:80", n)), Revision: objects.Revision(n),
+		Address: netip.MustParseAddrPort(fmt.Sprintf("10.0.0.%d:80", n)), Revision: objects.Position(n),
 	}
 }
 
@@ -104,8 +104,8 @@
 		c, member := filled(8), filled(8)
 		for n := range 20 {
 			r := entry(1 + n%8)
-			r.Revision = objects.Revision(101 + n)
-			c.Apply([]registry.Change{{Registration: r}}, objects.Revision(101+n), start)
+			r.Revision = objects.Position(101 + n)
+			c.Apply([]registry.Change{{Registration: r}}, objects.Position(101+n), start)
 		}
 		c.Apply([]registry.Change{{Registration: entry(4), Gone: true}}, 130, start)
 		changes, ok := c.Since(member.AsOf)
@@ -123,18 +123,18 @@
 		c, member := filled(8), filled(8)
 		for n := range 4 {
 			r := entry(1 + n)
-			r.Revision = objects.Revision(101 + n)
-			c.Apply([]registry.Change{{Registration: r}}, objects.Revision(101+n), start)
+			r.Revision = objects.Position(101 + n)
+			c.Apply([]registry.Change{{Registration: r}}, objects.Position(101+n), start)
 		}
 		before := member.Digest()
 		Expect(member.Hear(c.Recent(start.Add(-time.Second), 2), c.AsOf, c.Digest(), start)).To(BeFalse())
-		Expect(member.AsOf).To(Equal(objects.Revision(100)))
+		Expect(member.AsOf).To(Equal(objects.Position(100)))
 		Expect(member.Digest()).To(Equal(before), "nobody has a list with some of the changes")
 		changes, _ := c.Since(member.AsOf)
 		member.Apply(changes, c.AsOf, start)
 		Expect(member.Digest()).To(Equal(c.Digest()))
 		Expect(member.Hear(nil, 104, c.Digest(), start)).To(BeFalse())
-		Expect(member.AsOf).To(Equal(objects.Revision(104)))
+		Expect(member.AsOf).To(Equal(objects.Position(104)))
 	})
 
 	// Hundreds of upstreams are replaced, more at once than a datagram carries. A member hears the
@@ -146,7 +146,7 @@
 		change := func(c *registry.Catalog, from, to int) {
 			for n := from; n <= to; n++ {
 				r := entry(n)
-				r.Revision = objects.Revision(100 + n)
+				r.Revision = objects.Position(100 + n)
 				c.Apply([]registry.Change{{Registration: r}}, r.Revision, start)
 			}
 		}
@@ -177,7 +177,7 @@
 	// missed gets no flow, one that is kept gets flows nobody answers.
 	It("lead to what is in use, whatever comes in which order", func() {
 		rapid.Check(GinkgoT(), func(t *rapid.T) {
-			c, now, asOf := registry.NewCatalog(), start, objects.Revision(100)
+			c, now, asOf := registry.NewCatalog(), start, objects.Position(100)
 			mirror := make(map[bundle.UpstreamID]registry.Registration)
 			steps := map[string]func(*rapid.T){
 				"replace": func(t *rapid.T) {
@@ -226,7 +226,7 @@
 })
 
 var _ = Describe("A catalog with an entry that can't be used", func() {
-	bad := func(n int, revision objects.Revision) registry.Change {
+	bad := func(n int, revision objects.Position) registry.Change {
 		r := registry.Registration{ID: bundle.UpstreamID(n), Revision: revision, Unusable: true}
 		return registry.Change{Registration: r}
 	}
@@ -234,7 +234,7 @@
 	overwritten := func(n int) []registry.Change {
 		out := make([]registry.Change, 0, n)
 		for i := range n {
-			out = append(out, bad(i+1, objects.Revision(101+i)))
+			out = append(out, bad(i+1, objects.Position(101+i)))
 		}
 		return out
 	}
--- a/internal/version/registry/registration.go
+++ b/internal/version/registry/registration.go
@@ -37,7 +37,7 @@
 	// the entry's last change.
 	Warmup time.Duration
 	// Created and Revision order entries: see objects.Object.
-	Created, Revision objects.Revision
+	Created, Revision objects.Position
 	// Born is when the upstream started, zero if it doesn't tell.
 	Born UnixMilli
 	// Sequence counts the upstream's heartbeats from its start.
