carrier: an answer of the store that is older than what was known doesn't count as heard

Callers saw: hosts that went by a list of before, while each of them said that it was confirmed a second ago, and nobody looked elsewhere.

Cause: a list or a change that was refused still confirmed its kind, and the watch went on from it.

An answer as of an earlier position than was known when the store was asked is an error now (ErrOutdated): the kind isn't confirmed, members are asked, and the kind is listed anew once the store answers as of a later position, since changes in between may be missing. An answer that news have overtaken meanwhile is none, and doesn't confirm either.

--- a/internal/process/carrier/bundle.go
+++ b/internal/process/carrier/bundle.go
@@ -138,7 +138,9 @@
 func (c *Carrier) confirmBundle(at time.Time, asOf objects.Position) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.confirmBundleAt(at, asOf)
+	if asOf >= c.known.bundleAsOf {
+		c.confirmBundleAt(at, asOf)
+	}
 	c.readHere()
 }
 
--- a/internal/process/carrier/evacuation.go
+++ b/internal/process/carrier/evacuation.go
@@ -37,8 +37,11 @@
 func (c *Carrier) readEvacuations(now time.Time, next func(*evacuation.Zones) evacuation.Zones) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.takeEvacuations(next(&c.known.evacuated), bundleSource{source: "Store"}, now)
-	c.confirmEvacuations(now)
+	z := next(&c.known.evacuated)
+	c.takeEvacuations(z, bundleSource{source: "Store"}, now)
+	if z.AsOf >= c.known.evacuated.AsOf {
+		c.confirmEvacuations(now)
+	}
 	c.readHere()
 }
 
--- a/internal/process/carrier/follower.go
+++ b/internal/process/carrier/follower.go
@@ -95,6 +95,10 @@
 			klog.InfoS("Store can't be watched, it is listed", "Kind", f.kind, "AsOf", asOf, "Error", err.Error())
 			asOf, f.listing, f.fresh = 0, nil, true
 		default:
+			if eris.Is(err, objects.ErrOutdated) {
+				// Once the store answers as of a later position, changes may be missing in between.
+				asOf, f.fresh = 0, true
+			}
 			f.fails(err)
 			f.pause(ctx, failures)
 			failures++
@@ -133,10 +137,12 @@
 	}
 	before := f.c.knownAsOf(f.kind)
 	ch, err := f.feed.Watch(ctx, asOf, time.Duration(f.c.cfg.Load().WatchWait))
+	if err == nil {
+		err = f.checkAnswer(ch.AsOf, before, time.Now())
+	}
 	if err != nil {
 		return asOf, false, err
 	}
-	f.checkAnswer(ch.AsOf, before, time.Now())
 	f.answered()
 	f.reportChanges(&ch)
 	f.changes(ch, time.Now())
@@ -183,10 +189,13 @@
 		f.reportChanges(&ch)
 		late = ch
 	}
-	f.listing, f.fresh = nil, false
-	f.answered()
+	f.listing = nil
 	now := time.Now()
-	f.checkAnswer(late.AsOf, f.listedFrom, now)
+	if err := f.checkAnswer(late.AsOf, f.listedFrom, now); err != nil {
+		return 0, err
+	}
+	f.fresh = false
+	f.answered()
 	f.list(s, now)
 	f.changes(late, now)
 	return late.AsOf, nil
--- a/internal/process/carrier/history.go
+++ b/internal/process/carrier/history.go
@@ -4,6 +4,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"k8s.io/klog/v2"
 
 	"github.com/fescueshed/fescueshed/internal/process/logs"
@@ -39,19 +40,20 @@
 	return c.known.asOf(k)
 }
 
-// checkAnswer notes an answer of the store, and whether it is as of an earlier position than was known when the store
-// was asked.
-func (f *follower[T]) checkAnswer(asOf, before objects.Position, now time.Time) {
+// checkAnswer returns ErrOutdated if the store answered as of an earlier position than was known when it was asked.
+// Taken in, such an answer would count as the store's word that nothing else has changed.
+func (f *follower[T]) checkAnswer(asOf, before objects.Position, now time.Time) error {
 	f.c.mu.Lock()
 	f.c.seeEra(asOf, "Store", now)
 	f.c.mu.Unlock()
 	if asOf >= before {
-		return
+		return nil
 	}
 	f.c.outdated[f.kind].Add(1)
 	if left, ok := f.outdated.Allow(now); ok {
 		klog.InfoS("Store's answer is outdated", "Kind", f.kind, "AsOf", asOf, "Known", before, "LeftOut", left)
 	}
+	return eris.Wrapf(objects.ErrOutdated, "%v as of %v, known as of %v", f.kind, asOf, before)
 }
 
 func newOutdatedLimiter() *logs.Limiter { return logs.NewLimiter(outdatedLines) }
--- a/internal/process/carrier/restored_test.go
+++ b/internal/process/carrier/restored_test.go
@@ -8,6 +8,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/fescueshed/fescueshed/internal/standin/metadata"
 	"github.com/fescueshed/fescueshed/internal/standin/world"
 )
 
@@ -71,6 +72,36 @@
 	g.Eventually(evacuatedAt(nodes, "zone-2"), patience).Should(BeTrue())
 }
 
+// Guards against daemons that take a lagging member of the store at its word: it answers as of the time before the
+// return, and nothing that came after would be heard.
+func TestAnswersOfAFormerEraDoNotCountAsHeard(t *testing.T) {
+	g := NewWithT(t)
+	w := openWorld(t, world.Options{Seed: 1, Hosts: 3, Upstreams: 12})
+	nodes := openAll(t, w)
+	restoreStore(t, w, nodes)
+	for _, n := range nodes {
+		g.Eventually(func() int { return n.metric(t, "fescueshed_store_era") }, patience).Should(Equal(1))
+	}
+	w.Store.SetTrouble(metadata.Trouble{Former: true})
+	g.Expect(w.DrainServer()).To(BeTrue())
+	outdated := func() int {
+		sum := 0
+		for _, n := range nodes {
+			sum += n.metric(t, `fescueshed_store_answers_outdated_total{kind="Registrations"}`)
+		}
+		return sum
+	}
+	g.Eventually(outdated, patience).Should(BeNumerically(">", 0))
+	for _, n := range nodes {
+		age := func() int { return n.metric(t, `fescueshed_store_kind_age_seconds{kind="Registrations"}`) }
+		g.Eventually(age, patience).Should(BeNumerically(">", 3), "seconds since the list was known")
+	}
+	w.Store.SetTrouble(metadata.Trouble{})
+	for _, n := range nodes {
+		g.Eventually(n.Takes, patience).Should(Equal(11))
+	}
+}
+
 // Guards against a drain that goes unheard since the daemon that reads the store for all is lost as the store comes
 // back, or since it comes back twice in a row, or since a zone that was cut off still holds the era before.
 func TestDrainIsHeardThoughTroublesMeetTheReturn(t *testing.T) {
--- a/internal/process/carrier/store.go
+++ b/internal/process/carrier/store.go
@@ -70,7 +70,7 @@
 			list = append(list, r)
 		}
 	}
-	c.takeList(now, func() bool { return c.known.catalog.Replace(list, s.AsOf, now) })
+	c.takeList(s.AsOf, now, func() bool { return c.known.catalog.Replace(list, s.AsOf, now) })
 }
 
 // readHere notes that this daemon itself has read the store: it needn't again, unless nobody
@@ -161,18 +161,21 @@
 			changes = append(changes, registry.Change{Registration: r, Gone: ch.List[i].Deleted})
 		}
 	}
-	c.takeList(now, func() bool { return c.known.catalog.Apply(changes, ch.AsOf, now) })
+	c.takeList(ch.AsOf, now, func() bool { return c.known.catalog.Apply(changes, ch.AsOf, now) })
 }
 
 // takeList takes in what this daemon itself has read of the list of upstreams. take changes the
-// catalog and reports whether it did.
-func (c *Carrier) takeList(now time.Time, take func() bool) {
+// catalog and reports whether it did. What the catalog refuses, as news of a later position came first,
+// doesn't count as heard.
+func (c *Carrier) takeList(asOf objects.Position, now time.Time, take func() bool) {
 	c.mu.Lock()
 	var resets []cookie.Reset
 	if take() {
 		resets = c.follow(now)
 	}
-	c.confirmList(now)
+	if asOf >= c.known.catalog.AsOf {
+		c.confirmList(now)
+	}
 	c.readHere()
 	c.mu.Unlock()
 	c.data.resets(resets)
--- a/internal/standin/metadata/store.go
+++ b/internal/standin/metadata/store.go
@@ -29,6 +29,9 @@
 	SlowEvents time.Duration
 	// Deaf makes watches hear nothing.
 	Deaf bool
+	// Former answers lists and watches with what the store held before it came back from a copy, as a member of it
+	// does that lags behind the others.
+	Former bool
 	// ServeOneOf refuses all but one of so many calls for want of a rate, if it is more
 	// than one. Stale reads don't count.
 	ServeOneOf int
@@ -49,8 +52,8 @@
 	changed   chan struct{}
 	trouble   Trouble
 	calls     int
-	// stale is what stale reads see, nil if they see all.
-	stale *copied
+	// stale is what stale reads see, nil if they see all. former is what was there before the last return.
+	stale, former *copied
 }
 
 // copied is the store's content as it was.
@@ -121,6 +124,7 @@
 		for kind, events := range s.events {
 			s.events[kind] = slices.DeleteFunc(events, func(e storedEvent) bool { return e.revision > c.revision })
 		}
+		s.former = s.copy()
 		s.era++
 		s.revision, s.objects = c.revision, make(map[string]map[string]object)
 		for kind, objects := range c.objects {
@@ -335,7 +339,10 @@
 func (s *Store) list(w http.ResponseWriter, kind, after string, stale bool) {
 	s.mu.Lock()
 	from := &copied{objects: s.objects, revision: s.revision, era: s.era}
-	if stale && s.stale != nil {
+	switch {
+	case s.trouble.Former && s.former != nil:
+		from = s.former
+	case stale && s.stale != nil:
 		from = s.stale
 	}
 	p := wire.Page{AsOf: from.revision}
@@ -390,6 +397,10 @@
 func (s *Store) since(w http.ResponseWriter, kind string, from uint64) (*wire.Page, bool, chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.trouble.Former && s.former != nil {
+		tellEra(w, s.former.era)
+		return &wire.Page{AsOf: s.former.revision}, false, s.changed
+	}
 	tellEra(w, s.era)
 	if from < s.forgotten || from > s.revision {
 		return nil, true, nil
--- a/internal/version/objects/feed.go
+++ b/internal/version/objects/feed.go
@@ -75,6 +75,9 @@
 	ErrConflict = eris.New("objects: the object was changed by another")
 	// ErrNotFound means that there is no such object.
 	ErrNotFound = eris.New("objects: no such object")
+	// ErrOutdated means that the store answered as of a position before one that was known when it was
+	// asked: whoever answered lags, or lost its history without telling.
+	ErrOutdated = eris.New("objects: the answer is older than what is known")
 )
 
 // Feed reads one kind of objects. Implementations are safe for concurrent use
