registry, evacuation: what a store lacks that came back from a copy stays in force until it is written again

When a list of a later era comes, entries that a copy tells of an earlier heartbeat or incarnation don't go over what is known; an upstream that drained and left and is back with the copy takes no new flow; missing ones are kept, draining as they were; evacuated zones stay. Each until the store says something else, for 5 s at most (RestoreGrace); then the store is believed. What is told to others, and digests, stay the store's own words, so that daemons agree. A bundle in force never went back: versions are the operators' own.

Mutations: without the later contents TestCatalogHoldsWhatACopyLacks, TestCatalogHoldsADrainOverTwoReturns and TestWhatACopyLacksStaysInForceUntilItIsWrittenAgain fail; without keeping draining ones the case «a draining upstream that is lost» does. The soak lets the store come back from a copy of up to 4 s ago among its faults.

--- a/cmd/soak/fault.go
+++ b/cmd/soak/fault.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"syscall"
 	"time"
 
@@ -37,6 +38,7 @@
 	{name: "store link", weight: 4, inject: (*run).storeLink},
 	{name: "store", weight: 3, inject: (*run).store},
 	{name: "forget history", weight: 1, inject: (*run).forget},
+	{name: "store restored", weight: 2, inject: (*run).restore},
 	{name: "router cut", weight: 2, inject: (*run).routerCut},
 	{name: "peer cut", weight: 3, inject: (*run).peerCut},
 	{name: "zone cut", weight: 2, inject: (*run).zoneCut},
@@ -130,6 +132,28 @@
 	return "the store forgets its history"
 }
 
+// restore lets the store come back from one of the copies that were made lately.
+func (r *run) restore() string {
+	c, d := r.copies[r.rng.IntN(len(r.copies))], r.duration()/2
+	r.w.RestoreStore(c.restore, d)
+	return fmt.Sprintf("the store is away for %v and comes back as it was %v ago", d, time.Since(c.at))
+}
+
+// storeCopy is a copy of the store that was made at a time.
+type storeCopy struct {
+	at      time.Time
+	restore func()
+}
+
+// copyAge is how old a copy may be when the store is lost.
+const copyAge = 4 * time.Second
+
+// copyStore makes a copy and forgets those that are too old.
+func (r *run) copyStore() {
+	r.copies = slices.DeleteFunc(r.copies, func(c storeCopy) bool { return time.Since(c.at) > copyAge })
+	r.copies = append(r.copies, storeCopy{at: time.Now(), restore: r.w.Store.Copy()})
+}
+
 func (r *run) routerCut() string {
 	h, d := r.w.Hosts[r.host()], r.duration()
 	at := r.w.DataAddress(h)
--- a/internal/process/carrier/carrier.go
+++ b/internal/process/carrier/carrier.go
@@ -206,6 +206,7 @@
 		// Entries that are gone now end no flow by themselves: they are looked at first.
 		_ = c.follow(now)
 	}
+	c.expireEvacuations(now)
 	due := c.engine.DueProbes(now)
 	c.mu.Unlock()
 	c.probes.send(due)
--- a/internal/process/carrier/catalog.go
+++ b/internal/process/carrier/catalog.go
@@ -225,7 +225,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	out := &peer.Catalog{
-		Version: c.known.history.Now().Version, BundleAsOf: c.known.bundleAsOf, Evacuated: c.known.evacuated,
+		Version: c.known.history.Now().Version, BundleAsOf: c.known.bundleAsOf, Evacuated: c.known.evacuated.Stored,
 	}
 	var update *bundle.Update
 	if out.Version > params.Version {
--- a/internal/process/carrier/evacuation.go
+++ b/internal/process/carrier/evacuation.go
@@ -37,46 +37,61 @@
 func (c *Carrier) readEvacuations(now time.Time, next func(*evacuation.Zones) evacuation.Zones) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	z := next(&c.known.evacuated)
+	z := next(&c.known.evacuated.Stored)
 	c.takeEvacuations(z, bundleSource{source: "Store"}, now)
-	if z.AsOf >= c.known.evacuated.AsOf {
+	if z.AsOf >= c.known.evacuated.Stored.AsOf {
 		c.confirmEvacuations(now)
 	}
 	c.readHere()
 }
 
-// takeEvacuations puts evacuated zones in force unless a later revision's are. c.mu is held.
+// takeEvacuations takes in evacuated zones unless a later position's are known. c.mu is held.
 func (c *Carrier) takeEvacuations(z evacuation.Zones, from bundleSource, now time.Time) {
-	old := c.known.evacuated
-	if !z.Supersedes(&old) {
-		return
+	before := c.known.evacuated.Zones()
+	if c.known.evacuated.Take(z, now) {
+		c.putEvacuations(before, from, now)
+	}
+}
+
+// expireEvacuations lets zones be used again that the store lacks since it came back from a copy. c.mu is held.
+func (c *Carrier) expireEvacuations(now time.Time) {
+	before := c.known.evacuated.Zones()
+	if c.known.evacuated.Expire(now) {
+		c.putEvacuations(before, bundleSource{source: "StoreRestored"}, now)
 	}
-	c.known.evacuated = z
-	if z.Same(&old) {
+}
+
+// putEvacuations puts evacuated zones in force in place of those before. c.mu is held.
+func (c *Carrier) putEvacuations(before []bundle.Zone, from bundleSource, now time.Time) {
+	zones := c.known.evacuated.Zones()
+	if slices.Equal(zones, before) {
 		return
 	}
-	c.engine.Evacuate(z.List, now)
-	for _, zone := range z.List {
-		if !old.Has(zone) {
-			klog.InfoS("Zone evacuated", "Zone", zone, "AsOf", z.AsOf, "Source", from.source, "Name", from.name, "Age", from.age,
-				"Flows", c.engine.FlowsIn(zone))
+	c.engine.Evacuate(zones, now)
+	for _, zone := range zones {
+		if !slices.Contains(before, zone) {
+			c.logEvacuation("Zone evacuated", zone, from)
 		}
 	}
-	for _, zone := range old.List {
-		if !z.Has(zone) {
-			klog.InfoS("Zone taken back", "Zone", zone, "AsOf", z.AsOf, "Source", from.source, "Name", from.name, "Age", from.age,
-				"Flows", c.engine.FlowsIn(zone))
+	for _, zone := range before {
+		if !slices.Contains(zones, zone) {
+			c.logEvacuation("Zone taken back", zone, from)
 		}
 	}
 }
 
+func (c *Carrier) logEvacuation(what string, zone bundle.Zone, from bundleSource) {
+	klog.InfoS(what, "Zone", zone, "AsOf", c.known.evacuated.Stored.AsOf, "Source", from.source, "Name", from.name,
+		"Age", from.age, "Flows", c.engine.FlowsIn(zone))
+}
+
 // confirmEvacuations notes as of when the evacuated zones are known. c.mu is held.
 func (c *Carrier) confirmEvacuations(at time.Time) {
 	c.known.confirm(kindEvacuations, at)
 	c.noteReady()
 }
 
-// knownEvacuations returns the revision from which evacuations are to be watched, zero if they must be
+// knownEvacuations returns the position from which evacuations are to be watched, zero if they must be
 // listed.
 func (c *Carrier) knownEvacuations() objects.Position {
 	c.mu.Lock()
@@ -84,21 +99,22 @@
 	if !c.ready() {
 		return 0
 	}
-	return c.known.evacuated.AsOf
+	return c.known.evacuated.Stored.AsOf
 }
 
 // Evacuated returns the zones that get no new flow here, in order.
 func (c *Carrier) Evacuated() []bundle.Zone {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return slices.Clone(c.known.evacuated.List)
+	return c.known.evacuated.Zones()
 }
 
 // evacuationStatus tells since when zones are evacuated here and how many flows are still open
 // there. c.mu is held.
 func (c *Carrier) evacuationStatus() []status.EvacuationStatus {
-	out := make([]status.EvacuationStatus, 0, len(c.known.evacuated.List))
-	for _, zone := range c.known.evacuated.List {
+	zones := c.known.evacuated.Zones()
+	out := make([]status.EvacuationStatus, 0, len(zones))
+	for _, zone := range zones {
 		out = append(out, status.EvacuationStatus{Zone: zone, Since: c.engine.EvacuatedSince(zone), Flows: c.engine.FlowsIn(zone)})
 	}
 	return out
--- a/internal/process/carrier/knowledge.go
+++ b/internal/process/carrier/knowledge.go
@@ -32,7 +32,7 @@
 	history    bundle.History
 	bundleAsOf objects.Position
 	catalog    *registry.Catalog
-	evacuated  evacuation.Zones
+	evacuated  evacuation.InForce
 	// era is the latest era of the store that was heard of, eraSince since when it is known.
 	era      objects.Era
 	eraSince time.Time
@@ -61,7 +61,7 @@
 	case kindBundles:
 		return k.bundleAsOf
 	case kindEvacuations:
-		return k.evacuated.AsOf
+		return k.evacuated.Stored.AsOf
 	}
 	return k.catalog.AsOf
 }
--- a/internal/process/carrier/news.go
+++ b/internal/process/carrier/news.go
@@ -51,7 +51,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	w := word{
-		bundle: version, asOf: c.known.catalog.AsOf, digest: c.known.catalog.Digest(), evacuated: c.known.evacuated.Digest(),
+		bundle: version, asOf: c.known.catalog.AsOf, digest: c.known.catalog.Digest(), evacuated: c.known.evacuated.Stored.Digest(),
 		as: c.known.confirmedAll(),
 	}
 	if !w.newer(c.passed) {
@@ -78,7 +78,7 @@
 		AsOf:       c.known.catalog.AsOf,
 		Digest:     c.known.catalog.Digest(),
 		Changes:    c.known.catalog.Recent(now.Add(-newsSpan), peer.MaxNewsChanges),
-		Evacuated:  peer.Evacuated(&c.known.evacuated),
+		Evacuated:  peer.Evacuated(&c.known.evacuated.Stored),
 	}
 	c.mu.Unlock()
 	// Read after the age, so that a version isn't called newer than it is known to be.
@@ -113,7 +113,7 @@
 		c.takeEvacuations(n.Evacuated.Zones, bundleSource{source: "News", name: from.String(), age: n.Age}, now)
 	}
 	lacksBundle, lacksList := n.Lacks(version, c.known.catalog.AsOf, c.known.catalog.Digest())
-	lacksEvacuated := n.Evacuated.Lacks(&c.known.evacuated)
+	lacksEvacuated := n.Evacuated.Lacks(&c.known.evacuated.Stored)
 	if !lacksList {
 		c.confirmList(as)
 	}
--- a/internal/process/carrier/restored_test.go
+++ b/internal/process/carrier/restored_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/fescueshed/fescueshed/internal/standin/metadata"
 	"github.com/fescueshed/fescueshed/internal/standin/world"
+	"github.com/fescueshed/fescueshed/internal/version/objects"
 )
 
 // openAll starts a balancer on each host, and waits until all know each other.
@@ -72,6 +73,35 @@
 	g.Eventually(evacuatedAt(nodes, "zone-2"), patience).Should(BeTrue())
 }
 
+// Guards against a drain and an evacuation that are undone for as long as nobody has written them again to a store
+// that came back from a copy without them.
+func TestWhatACopyLacksStaysInForceUntilItIsWrittenAgain(t *testing.T) {
+	g := NewWithT(t)
+	w := openWorld(t, world.Options{Seed: 1, Hosts: 3, Upstreams: 12})
+	nodes := openAll(t, w)
+	restore := w.Store.Copy()
+	g.Expect(w.DrainServer()).To(BeTrue())
+	w.Evacuate("zone-2")
+	kept := func() bool {
+		for _, n := range nodes {
+			if n.Takes() != 11 {
+				return false
+			}
+		}
+		return evacuatedAt(nodes, "zone-2")()
+	}
+	g.Eventually(kept, patience).Should(BeTrue())
+	restore()
+	for _, n := range nodes {
+		g.Eventually(func() int { return n.metric(t, "fescueshed_store_era") }, patience).Should(Equal(1))
+		g.Eventually(n.Takes).Should(Equal(11))
+	}
+	g.Consistently(kept, time.Second).Should(BeTrue())
+	w.WriteAgain(time.Second)
+	time.Sleep(objects.RestoreGrace)
+	g.Consistently(kept, time.Second).Should(BeTrue(), "the store tells it again")
+}
+
 // Guards against daemons that take a lagging member of the store at its word: it answers as of the time before the
 // return, and nothing that came after would be heard.
 func TestAnswersOfAFormerEraDoNotCountAsHeard(t *testing.T) {
--- a/internal/standin/world/world.go
+++ b/internal/standin/world/world.go
@@ -121,10 +121,12 @@
 	*flows.Upstream
 	end func()
 	// at is where it is reached, through a relay.
-	at       netip.AddrPort
-	born     time.Time
-	harmed   time.Time
-	drained  time.Time
+	at      netip.AddrPort
+	born    time.Time
+	harmed  time.Time
+	drained time.Time
+	// beats counts what the upstream wrote of itself.
+	beats    uint64
 	crashed  bool
 	crashing time.Time
 }
@@ -329,10 +331,12 @@
 	return nil
 }
 
+// register writes an upstream's entry. w.mu is held.
 func (w *World) register(s *Server) {
+	s.beats++
 	w.Store.Register(&registry.Registration{
 		ID: s.ID, Service: s.Service, Address: s.at, Zone: s.Zone, Slots: s.Slots, Draining: !s.drained.IsZero(),
-		Born: registry.UnixMilli(s.born.UnixMilli()),
+		Born: registry.UnixMilli(s.born.UnixMilli()), Sequence: s.beats,
 	})
 }
 
--- /dev/null
+++ b/internal/version/evacuation/inforce_test.go
@@ -0,0 +1,50 @@
+package evacuation_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/fescueshed/fescueshed/internal/version/bundle"
+	"github.com/fescueshed/fescueshed/internal/version/evacuation"
+	"github.com/fescueshed/fescueshed/internal/version/objects"
+)
+
+// Guards against flows that enter an evacuated zone, since the store came back from a copy that lacks its evacuation
+// or has a lower revision.
+func TestZonesInForceOverAReturnOfTheStore(t *testing.T) {
+	none := []bundle.Zone(nil)
+	for name, tc := range map[string]struct {
+		known, copied, later []bundle.Zone
+		held, believed       []bundle.Zone
+	}{
+		"copied":                       {known: zones("a"), copied: zones("a"), later: zones("a"), held: zones("a"), believed: zones("a")},
+		"lost":                         {known: zones("a", "b"), copied: zones("b"), later: zones("b"), held: zones("a", "b"), believed: zones("b")},
+		"lost and asked for again":     {known: zones("a"), later: zones("a"), held: zones("a"), believed: zones("a")},
+		"asked for after the return":   {later: zones("a"), held: zones("a"), believed: zones("a")},
+		"taken back after the return":  {known: zones("a"), copied: zones("a"), held: none, believed: none},
+		"taken back, and the copy not": {copied: zones("a"), later: none, held: none, believed: none},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			var f evacuation.InForce
+			now := time.Unix(0, 0)
+			take := func(list []bundle.Zone, era objects.Era, revision uint64) bool {
+				p, err := objects.NewPosition(era, revision)
+				g.Expect(err).NotTo(HaveOccurred())
+				return f.Take(evacuation.NewZones(list, p), now)
+			}
+			g.Expect(take(tc.known, 0, 27)).To(BeTrue())
+			g.Expect(take(tc.copied, 1, 20)).To(BeTrue())
+			g.Expect(take(tc.known, 0, 99)).To(BeFalse(), "a word that comes late")
+			g.Expect(take(tc.later, 1, 21)).To(BeTrue())
+			g.Expect(f.Expire(now.Add(objects.RestoreGrace - 1))).To(BeFalse())
+			g.Expect(f.Zones()).To(Equal(tc.held))
+			f.Expire(now.Add(objects.RestoreGrace))
+			g.Expect(f.Zones()).To(Equal(tc.believed))
+		})
+	}
+}
+
+func zones(names ...bundle.Zone) []bundle.Zone { return names }
--- a/internal/version/objects/position.go
+++ b/internal/version/objects/position.go
@@ -2,6 +2,7 @@
 
 import (
 	"strconv"
+	"time"
 
 	"github.com/rotisserie/eris"
 )
@@ -22,6 +23,10 @@
 	maxEra       = 1<<(64-revisionBits) - 1
 )
 
+// RestoreGrace is for how long after the store came back from a copy what it lacks counts as lost with the copy,
+// and not as taken back: operators and upstreams write theirs again within it. Then the store is believed.
+const RestoreGrace = 5 * time.Second
+
 // ErrPosition is returned for an era or a revision that is too large.
 var ErrPosition = eris.New("objects: position out of range")
 
--- a/internal/version/registry/catalog.go
+++ b/internal/version/registry/catalog.go
@@ -27,6 +27,10 @@
 	forgotten objects.Position
 	// changed are the upstreams that came, changed or went since TakeChanges.
 	changed map[bundle.UpstreamID]struct{}
+	// older holds what the store, which came back from a copy, says of upstreams of which something later is
+	// known. That stays in force until restoredUntil, or until the store says something else.
+	older         map[bundle.UpstreamID]Registration
+	restoredUntil time.Time
 	// doubtUntil is the time up to which a vanished entry may be a lapse of the
 	// store and not of the upstream.
 	doubtUntil time.Time
@@ -65,6 +69,7 @@
 		entries:  make(map[bundle.UpstreamID]Registration),
 		vanished: make(map[bundle.UpstreamID]kept),
 		changed:  make(map[bundle.UpstreamID]struct{}),
+		older:    make(map[bundle.UpstreamID]Registration),
 	}
 }
 
@@ -94,10 +99,7 @@
 		return false
 	}
 	if c.AsOf != 0 && asOf.Era() != c.AsOf.Era() {
-		changed := c.advance(c.leadingTo(list), asOf, now)
-		// Whoever is behind by changes of an earlier era needs the whole list.
-		c.log, c.forgotten = nil, asOf
-		return changed
+		return c.restore(list, asOf, now)
 	}
 	return c.advance(c.leadingTo(list), asOf, now)
 }
@@ -230,9 +232,10 @@
 	}
 	c.count(&old, -1)
 	delete(c.entries, ch.ID)
+	delete(c.older, ch.ID)
 	c.changed[ch.ID] = struct{}{}
 	c.note(Change{Registration: old, Gone: true}, asOf, now)
-	if !old.Draining && !old.Unusable && now.Before(c.doubtUntil) {
+	if !old.Draining && !old.Unusable && now.Before(c.doubtUntil) || now.Before(c.restoredUntil) {
 		c.vanished[ch.ID] = kept{Registration: old, until: c.doubtUntil}
 	}
 	return true
@@ -260,6 +263,7 @@
 	}
 	c.count(&r, 1)
 	c.entries[r.ID] = r
+	delete(c.older, r.ID)
 	c.changed[r.ID] = struct{}{}
 	c.note(Change{Registration: r}, asOf, now)
 	return true
@@ -293,10 +297,10 @@
 	c.log = append(c.log, logged{at: now, asOf: asOf, change: ch})
 }
 
-// Expire removes vanished entries whose time is over. It reports whether there
-// were any.
+// Expire removes vanished entries whose time is over, and believes the store of those that it had an older
+// content of. It reports whether there were any.
 func (c *Catalog) Expire(now time.Time) bool {
-	changed := false
+	changed := c.believe(now)
 	for id, k := range c.vanished {
 		if now.After(k.until) {
 			delete(c.vanished, id)
@@ -359,7 +363,11 @@
 func (c *Catalog) List() []Registration {
 	out := make([]Registration, 0, len(c.entries))
 	for _, id := range slices.Sorted(maps.Keys(c.entries)) {
-		out = append(out, c.entries[id])
+		r := c.entries[id]
+		if older, ok := c.older[id]; ok {
+			r = older
+		}
+		out = append(out, r)
 	}
 	return out
 }
--- a/internal/version/registry/registration.go
+++ b/internal/version/registry/registration.go
@@ -128,6 +128,20 @@
 	return r.Unusable && r.Known() && !old.Known()
 }
 
+// precedes reports whether an entry of a copy of the store is of an earlier time than what is known of the same
+// upstream: of a former incarnation, or of an earlier heartbeat.
+func (r *Registration) precedes(known *Registration) bool {
+	switch {
+	case !r.Known() || !known.Known() || r.Unusable || known.Unusable:
+		return false
+	case r.Born != known.Born && r.Born != 0 && known.Born != 0:
+		return r.Born < known.Born
+	case r.Service != known.Service:
+		return false
+	}
+	return r.Sequence < known.Sequence
+}
+
 // digest is the entry's part of the digest of a list.
 func (r *Registration) digest() uint64 {
 	var b [17]byte
--- /dev/null
+++ b/internal/version/registry/restored.go
@@ -0,0 +1,84 @@
+package registry
+
+import (
+	"time"
+
+	"github.com/fescueshed/fescueshed/internal/version/bundle"
+	"github.com/fescueshed/fescueshed/internal/version/objects"
+)
+
+// restore takes in the list of a store that came back from a copy. What is later known of an upstream than the
+// copy says stays in force until the upstream writes again, for objects.RestoreGrace at most, and an upstream that
+// the copy lacks is kept as long. It reports whether anything changed.
+func (c *Catalog) restore(list []Registration, asOf objects.Position, now time.Time) bool {
+	c.restoredUntil = now.Add(objects.RestoreGrace)
+	if c.restoredUntil.After(c.doubtUntil) {
+		c.doubtUntil = c.restoredUntil
+	}
+	list, older := c.withLater(list)
+	changed := c.advance(c.leadingTo(list), asOf, now)
+	c.older = older
+	// Whoever is behind by changes of an earlier era needs the whole list.
+	c.log, c.forgotten = nil, asOf
+	return changed
+}
+
+// withLater returns a list of the store with what is later known of its upstreams, and what the store says of these.
+func (c *Catalog) withLater(list []Registration) (out []Registration, older map[bundle.UpstreamID]Registration) {
+	left := c.left()
+	older = make(map[bundle.UpstreamID]Registration)
+	out = make([]Registration, 0, len(list))
+	for _, r := range list {
+		later, ok := c.laterThan(&r, left)
+		if ok {
+			older[r.ID] = r
+			later.Created, later.Revision = r.Created, r.Revision
+			r = later
+		}
+		out = append(out, r)
+	}
+	return out, older
+}
+
+// laterThan returns what is known of an upstream if that is later than an entry of a copy. An upstream that had left
+// is back with the copy, and still takes no new flow.
+func (c *Catalog) laterThan(r *Registration, left map[bundle.UpstreamID]Registration) (Registration, bool) {
+	if old, ok := left[r.ID]; ok {
+		return old, r.Restarted(&old) != RestartCertain && r.Sequence <= old.Sequence
+	}
+	old, ok := c.entries[r.ID]
+	if !ok {
+		old = c.vanished[r.ID].Registration
+	}
+	return old, r.precedes(&old)
+}
+
+// left returns the upstreams that drained and left lately, as they were last.
+func (c *Catalog) left() map[bundle.UpstreamID]Registration {
+	out := make(map[bundle.UpstreamID]Registration)
+	for i := range c.log {
+		switch ch := &c.log[i].change; {
+		case ch.Gone && ch.Draining:
+			out[ch.ID] = ch.Registration
+		case !ch.Gone:
+			delete(out, ch.ID)
+		}
+	}
+	return out
+}
+
+// believe puts what the store says in force once the time is over for which something later was.
+func (c *Catalog) believe(now time.Time) bool {
+	if len(c.older) == 0 || now.Before(c.restoredUntil) {
+		return false
+	}
+	for id, r := range c.older {
+		old := c.entries[id]
+		c.count(&old, -1)
+		c.count(&r, 1)
+		c.entries[id] = r
+		c.changed[id] = struct{}{}
+	}
+	clear(c.older)
+	return true
+}
--- a/internal/version/registry/restored_test.go
+++ b/internal/version/registry/restored_test.go
@@ -66,3 +66,118 @@
 	_, ok = c.Since(at(1, 24))
 	g.Expect(ok).To(BeTrue())
 }
+
+// Guards against upstreams that get flows again since the copy, from which the store came back, is older than their
+// drain, and against flows that are reset since it is older than their upstream.
+func TestCatalogHoldsWhatACopyLacks(t *testing.T) {
+	const known, copied = 27, 20
+	ready, drains := beat(1, at(0, 19), 5, false), beat(1, at(0, 26), 7, true)
+	born := func(r registry.Registration, at registry.UnixMilli) registry.Registration {
+		r.Born = at
+		return r
+	}
+	for name, tc := range map[string]struct {
+		// before are the lists before, in their order, copied the store's after it came back, later the changes
+		// that it tells then.
+		before [][]registry.Registration
+		copied []registry.Registration
+		later  []registry.Change
+		// held and believed are how the upstream is used within the grace and after it.
+		held, believed use
+	}{
+		"a drain that is lost": {
+			before: [][]registry.Registration{{drains}}, copied: []registry.Registration{beat(1, at(1, 19), 5, false)},
+			held: useDraining, believed: useReady,
+		},
+		"a drain that is lost and written again": {
+			before: [][]registry.Registration{{drains}}, copied: []registry.Registration{beat(1, at(1, 19), 5, false)},
+			later: []registry.Change{{Registration: beat(1, at(1, 21), 8, true)}},
+			held:  useDraining, believed: useDraining,
+		},
+		"a drain that was copied": {
+			before: [][]registry.Registration{{drains}}, copied: []registry.Registration{beat(1, at(1, 20), 7, true)},
+			held: useDraining, believed: useDraining,
+		},
+		"an upstream that is lost": {
+			before: [][]registry.Registration{{ready}}, held: useReady, believed: useNone,
+		},
+		"a draining upstream that is lost": {
+			before: [][]registry.Registration{{drains}}, held: useDraining, believed: useNone,
+		},
+		"an upstream that is lost and registers again": {
+			before: [][]registry.Registration{{ready}}, later: []registry.Change{{Registration: beat(1, at(1, 21), 6, false)}},
+			held: useReady, believed: useReady,
+		},
+		"an upstream that had left": {
+			before: [][]registry.Registration{{ready}, {drains}, {}}, copied: []registry.Registration{beat(1, at(1, 19), 5, false)},
+			held: useDraining, believed: useReady,
+		},
+		"an upstream that had left and is gone again": {
+			before: [][]registry.Registration{{ready}, {drains}, {}}, copied: []registry.Registration{beat(1, at(1, 19), 5, false)},
+			later: []registry.Change{{Registration: beat(1, at(1, 21), 5, false), Gone: true}},
+			held:  useDraining, believed: useNone,
+		},
+		"an upstream that started again": {
+			before: [][]registry.Registration{{born(drains, 3)}}, copied: []registry.Registration{born(beat(1, at(1, 21), 1, false), 9)},
+			held: useReady, believed: useReady,
+		},
+		"a former incarnation": {
+			before: [][]registry.Registration{{born(drains, 9)}}, copied: []registry.Registration{born(beat(1, at(1, 19), 70, false), 3)},
+			held: useDraining, believed: useReady,
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			c, now := registry.NewCatalog(), time.Unix(0, 0)
+			for i, list := range tc.before {
+				c.Replace(list, at(0, known+uint64(i)), now)
+			}
+			c.Replace(tc.copied, at(1, copied), now)
+			reader := registry.NewCatalog()
+			reader.Replace(tc.copied, at(1, copied), now)
+			g.Expect(c.Digest()).To(Equal(reader.Digest()), "it agrees with one that read the copy only")
+			g.Expect(c.List()).To(Equal(reader.List()))
+			g.Expect(usedAs(c)).To(Equal(tc.held))
+			c.Apply(tc.later, at(1, copied+5), now)
+			g.Expect(usedAs(c)).To(Equal(tc.held))
+			c.Expire(now.Add(objects.RestoreGrace + time.Millisecond))
+			g.Expect(usedAs(c)).To(Equal(tc.believed))
+		})
+	}
+}
+
+// use is how an upstream is routed by.
+type use string
+
+const (
+	useNone     use = "not used"
+	useReady    use = "takes flows"
+	useDraining use = "keeps its flows"
+)
+
+func usedAs(c *registry.Catalog) use {
+	r, ok := inUse(c, 1)
+	switch {
+	case !ok:
+		return useNone
+	case r.Draining:
+		return useDraining
+	}
+	return useReady
+}
+
+// Guards against a drain that is forgotten since the store comes back a second time while it is held.
+func TestCatalogHoldsADrainOverTwoReturns(t *testing.T) {
+	g := NewWithT(t)
+	c, now := registry.NewCatalog(), time.Unix(0, 0)
+	c.Replace([]registry.Registration{beat(1, at(0, 26), 7, true)}, at(0, 27), now)
+	for era := objects.Era(1); era <= 2; era++ {
+		now = now.Add(time.Second)
+		c.Replace([]registry.Registration{beat(1, at(era, 19), 5, false)}, at(era, 20), now)
+		g.Expect(usedAs(c)).To(Equal(useDraining))
+	}
+	c.Expire(now.Add(objects.RestoreGrace - time.Millisecond))
+	g.Expect(usedAs(c)).To(Equal(useDraining))
+	c.Expire(now.Add(objects.RestoreGrace))
+	g.Expect(usedAs(c)).To(Equal(useReady))
+}
