carrier, status: era and position of each kind, and what is held after a return of the store

fescueshed status prints them; lines tell when the store came back, what is held over older entries or though missing, and when the store is believed.

--- a/cmd/fescueshed/status.go
+++ b/cmd/fescueshed/status.go
@@ -71,11 +71,28 @@
 		}
 		fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%d\t%s\n", u.Service, name, u.Zone, u.Flows, u.Requests, bar(u.Requests, u.Slots))
 	}
+	printStore(w, s.Store)
 	printEvacuated(w, status.Summarize([]status.Status{*s}).Evacuated)
 	printDrops(w, s.Drops)
 	return w.Flush()
 }
 
+// printStore prints how the store's content is known.
+func printStore(w io.Writer, s *status.StoreStatus) {
+	if s == nil {
+		return
+	}
+	fmt.Fprintln(w, "\nSTORE\tAS OF\tAGE")
+	for _, k := range s.Kinds {
+		fmt.Fprintf(w, "%s\t%s\t%.1f s\n", k.Kind, k.AsOf, k.Age)
+	}
+	if s.Era == 0 {
+		return
+	}
+	fmt.Fprintf(w, "back from a copy %d times, heard %s; upstreams held over an older entry %d, though missing %d\n",
+		s.Era, s.EraSince.Format(time.RFC3339), s.HeldOverOlder, s.HeldThoughMissing)
+}
+
 func printEvacuated(w io.Writer, zones []status.EvacuatedZone) {
 	if len(zones) == 0 {
 		return
--- a/internal/process/carrier/carrier.go
+++ b/internal/process/carrier/carrier.go
@@ -202,10 +202,7 @@
 func (c *Carrier) awake(now time.Time) {
 	c.pauses.Seen(now)
 	c.mu.Lock()
-	if c.known.catalog.Expire(now) {
-		// Entries that are gone now end no flow by themselves: they are looked at first.
-		_ = c.follow(now)
-	}
+	c.expireList(now)
 	c.expireEvacuations(now)
 	due := c.engine.DueProbes(now)
 	c.mu.Unlock()
--- a/internal/process/carrier/catalog.go
+++ b/internal/process/carrier/catalog.go
@@ -149,12 +149,12 @@
 		return nil
 	}
 	c.known.catalog.DoubtFor(got.Doubt, now)
-	var changed bool
-	if got.Listed {
-		changed = c.known.catalog.Replace(got.Registrations, got.AsOf, now)
-	} else {
-		changed = c.known.catalog.Apply(got.Changes, got.AsOf, now)
-	}
+	changed := c.changeList(func() bool {
+		if got.Listed {
+			return c.known.catalog.Replace(got.Registrations, got.AsOf, now)
+		}
+		return c.known.catalog.Apply(got.Changes, got.AsOf, now)
+	})
 	var resets []cookie.Reset
 	if changed {
 		resets = c.follow(now)
--- a/internal/process/carrier/doc.go
+++ b/internal/process/carrier/doc.go
@@ -4,6 +4,6 @@
 // packages cookie, registry and peer.
 //
 // Locks: bundle.InForce, then Carrier.mu, which guards engine, catalog and reading,
-// then members.mu. Nothing is sent and no line is written while one of the last two
-// is held.
+// then members.mu. Nothing is sent while one of the last two is held, and lines are written only of what
+// changes rarely: evacuations, upstreams that start again, returns of the store.
 package carrier
--- a/internal/process/carrier/history.go
+++ b/internal/process/carrier/history.go
@@ -26,6 +26,32 @@
 	}
 }
 
+// changeList changes the catalog by a function, which reports whether it did, and logs what is held if that brings the
+// list of a store that came back from a copy. c.mu is held.
+func (c *Carrier) changeList(change func() bool) bool {
+	before := c.known.catalog.AsOf
+	changed := change()
+	if now := c.known.catalog.AsOf; before != 0 && now.Era() != before.Era() {
+		older, missing := c.known.catalog.Held()
+		klog.InfoS("Upstreams of a copy", "AsOf", now, "Before", before, "HeldOverOlderEntry", older, "HeldThoughMissing", missing)
+	}
+	return changed
+}
+
+// expireList lets upstreams go that the store doesn't have any more, or has with an older content, once they were held
+// for long enough. c.mu is held.
+func (c *Carrier) expireList(now time.Time) {
+	older, missing := c.known.catalog.Held()
+	if !c.known.catalog.Expire(now) {
+		return
+	}
+	if o, m := c.known.catalog.Held(); o < older {
+		klog.InfoS("Store's older entries are believed", "Upstreams", older-o, "MissingGone", missing-m)
+	}
+	// Entries that are gone now end no flow by themselves: they are looked at first.
+	_ = c.follow(now)
+}
+
 // storeEra returns the latest era of the store that was heard of.
 func (c *Carrier) storeEra() objects.Era {
 	c.mu.Lock()
--- a/internal/process/carrier/restored_test.go
+++ b/internal/process/carrier/restored_test.go
@@ -97,6 +97,13 @@
 		g.Eventually(n.Takes).Should(Equal(11))
 	}
 	g.Consistently(kept, time.Second).Should(BeTrue())
+	for _, n := range nodes {
+		s := n.Status().Store
+		g.Expect(s.Era).To(BeEquivalentTo(1))
+		g.Expect(s.EraSince.IsZero()).To(BeFalse())
+		g.Expect(s.HeldOverOlder).To(Equal(1))
+		g.Expect(s.Kinds).To(HaveLen(3))
+	}
 	w.WriteAgain(time.Second)
 	time.Sleep(objects.RestoreGrace)
 	g.Consistently(kept, time.Second).Should(BeTrue(), "the store tells it again")
--- a/internal/process/carrier/status.go
+++ b/internal/process/carrier/status.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"github.com/fescueshed/fescueshed/internal/connection/cookie"
 	"github.com/fescueshed/fescueshed/internal/process/status"
@@ -19,6 +20,7 @@
 	defer c.mu.Unlock()
 	out.Flows = c.engine.Flows()
 	out.Evacuated = c.evacuationStatus()
+	out.Store = c.storeStatus(time.Now())
 	for _, u := range c.engine.Upstreams() {
 		requests := u.Load.Requests.Load()
 		out.OpenRequests += int(requests)
@@ -32,6 +34,18 @@
 	return out
 }
 
+// storeStatus tells as of when the store's content is known. c.mu is held.
+func (c *Carrier) storeStatus(now time.Time) *status.StoreStatus {
+	out := &status.StoreStatus{Era: c.known.era, EraSince: c.known.eraSince}
+	out.HeldOverOlder, out.HeldThoughMissing = c.known.catalog.Held()
+	for k := range numKinds {
+		out.Kinds = append(out.Kinds, status.StoreKindStatus{
+			Kind: k.String(), AsOf: c.known.asOf(k).String(), Age: now.Sub(c.known.confirmed[k]).Seconds(),
+		})
+	}
+	return out
+}
+
 // dropStatus returns what was dropped or reset, by cause.
 func dropStatus(k *cookie.Counters) []status.DropStatus {
 	var out []status.DropStatus
--- a/internal/process/carrier/store.go
+++ b/internal/process/carrier/store.go
@@ -170,7 +170,7 @@
 func (c *Carrier) takeList(asOf objects.Position, now time.Time, take func() bool) {
 	c.mu.Lock()
 	var resets []cookie.Reset
-	if take() {
+	if c.changeList(take) {
 		resets = c.follow(now)
 	}
 	if asOf >= c.known.catalog.AsOf {
--- a/internal/process/status/status.go
+++ b/internal/process/status/status.go
@@ -6,10 +6,12 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"time"
 
 	"github.com/rotisserie/eris"
 
 	"github.com/fescueshed/fescueshed/internal/version/bundle"
+	"github.com/fescueshed/fescueshed/internal/version/objects"
 )
 
 // Path is where daemons serve their status.
@@ -29,11 +31,32 @@
 	OpenRequests int
 	Upstreams    []UpstreamStatus
 	Drops        []DropStatus
+	// Store is what the daemon knows of the platform's store, nil if it follows none.
+	Store *StoreStatus `json:",omitempty"`
 	// Evacuated are the zones that get no new flow from this daemon.
 	Evacuated []EvacuationStatus
 	Requests  []RequestStatus
 }
 
+// StoreStatus is how a daemon knows the store's content.
+type StoreStatus struct {
+	// Era counts how often the store came back from a copy of itself, EraSince is when this daemon heard of
+	// the last time, zero if it didn't.
+	Era      objects.Era
+	EraSince time.Time
+	Kinds    []StoreKindStatus
+	// HeldOverOlder and HeldThoughMissing count upstreams that are used by what was known before that.
+	HeldOverOlder, HeldThoughMissing int
+}
+
+// StoreKindStatus is as of when a kind of objects is known.
+type StoreKindStatus struct {
+	Kind string
+	// AsOf is the era and the revision, Age how long ago the store confirmed that nothing is newer, in seconds.
+	AsOf string
+	Age  float64
+}
+
 // MemberStatus is a member as the daemon sees it.
 type MemberStatus struct {
 	Name  string
--- a/internal/version/registry/catalog.go
+++ b/internal/version/registry/catalog.go
@@ -297,6 +297,10 @@
 	c.log = append(c.log, logged{at: now, asOf: asOf, change: ch})
 }
 
+// Held returns how many upstreams are used otherwise than the store says: by what was known before it came back from a
+// copy, in place of an older entry, or though it lacks them.
+func (c *Catalog) Held() (older, missing int) { return len(c.older), len(c.vanished) }
+
 // Expire removes vanished entries whose time is over, and believes the store of those that it had an older
 // content of. It reports whether there were any.
 func (c *Catalog) Expire(now time.Time) bool {
