--- a/internal/version/registry/restored_test.go
+++ b/internal/version/registry/restored_test.go
@@ -59,6 +59,10 @@
 	g.Expect(c.Apply(drains, at(1, 28), now)).To(BeFalse())
 	g.Expect(c.Hear(drains, at(1, 28), 0, now)).To(BeFalse())
 	g.Expect(c.AsOf).To(Equal(at(0, 27)))
+	empty := registry.NewCatalog()
+	empty.Replace(nil, at(0, 27), now)
+	g.Expect(empty.Hear(nil, at(1, 28), empty.Digest(), now)).To(BeFalse())
+	g.Expect(empty.AsOf).To(Equal(at(0, 27)), "both lists are empty, and still of two histories")
 
 	c.Replace([]registry.Registration{beat(1, at(1, 20), 5, false)}, at(1, 24), now)
 	_, ok := c.Since(at(0, 27))
