--- a/internal/standin/emulator/fleet.go
+++ b/internal/standin/emulator/fleet.go
@@ -26,6 +26,9 @@
 	DarkSeeds bool
 	// StoreFrom and StoreUntil are when the store refuses all calls.
 	StoreFrom, StoreUntil time.Duration
+	// StoreRestored says that it comes back from a copy then: who watches must list, and who hears of it must be told
+	// the whole list.
+	StoreRestored bool
 	// RefusedSlots makes every member refuse to tell.
 	RefuseToTell bool
 	// Length is how long the play takes.
@@ -38,6 +41,10 @@
 	// Ready are the times from each host's start until it could place flows, in rising order.
 	// Hosts that never could aren't among them.
 	Ready []time.Duration
+	// Relisted is how many hosts listed again after the store came back from a copy, Caught the times from then until
+	// each host held its list, in rising order.
+	Relisted int
+	Caught   []time.Duration
 	// Readers is how many hosts follow the store at the end.
 	Readers int
 }
@@ -82,6 +89,8 @@
 	asks      int
 	// knownAt is as of when the store's content is known.
 	knownAt time.Duration
+	// caughtUp says that the list of the store that came back is known, catching that it is being told.
+	caughtUp, catching bool
 }
 
 type fleetPlay struct {
@@ -121,6 +130,7 @@
 		}
 	}
 	slices.Sort(w.out.Ready)
+	slices.Sort(w.out.Caught)
 	return &w.out
 }
 
@@ -265,6 +275,10 @@
 		h.w.after(pause, func() { h.calling = false })
 		return
 	}
+	if h.behind() {
+		h.relist()
+		return
+	}
 	asOf := h.w.now
 	h.work(content, func() {
 		h.failures, h.calling = 0, false
@@ -272,6 +286,46 @@
 	})
 }
 
+// behind reports whether the store came back from a copy whose list the host doesn't know.
+func (h *fleetHost) behind() bool {
+	return h.w.f.StoreRestored && h.ready && !h.caughtUp && h.w.now >= h.w.f.StoreUntil
+}
+
+// relist lists both kinds after their watches were refused.
+func (h *fleetHost) relist() {
+	h.w.out.Calls += 2
+	h.w.out.Relisted++
+	h.work(2*callWork, func() {
+		h.w.after(storeAnswer, func() {
+			asOf := h.w.now
+			h.work(time.Duration(h.w.f.Upstreams)*readWork, func() {
+				h.failures, h.calling = 0, false
+				h.catchUp()
+				h.know(asOf)
+				h.tell()
+			})
+		})
+	})
+}
+
+// catchUp notes that the host knows the list of the store that came back.
+func (h *fleetHost) catchUp() {
+	if !h.caughtUp {
+		h.caughtUp = true
+		h.w.out.Caught = append(h.w.out.Caught, h.w.now-h.w.f.StoreUntil)
+	}
+}
+
+// beTold asks the sender of news for the whole list, which they don't lead to.
+func (h *fleetHost) beTold(by *fleetHost) {
+	if h.catching {
+		return
+	}
+	h.catching = true
+	told := time.Duration(h.w.f.Upstreams) * toldWork
+	by.work(callWork+told, func() { h.work(callWork+told, h.catchUp) })
+}
+
 // know notes that the store's content is known as of a time.
 func (h *fleetHost) know(asOf time.Duration) {
 	h.knownAt = max(h.knownAt, asOf)
@@ -345,6 +399,12 @@
 			continue
 		}
 		asOf, before := epoch.Add(h.knownAt), o.look().ReadsBefore(h.self.ID)
+		if o.behind() && h.caughtUp {
+			h.w.after(fleetWay, func() { o.beTold(h) })
+		}
+		if h.behind() {
+			continue
+		}
 		o.knownAt = max(o.knownAt, h.knownAt)
 		h.w.after(fleetWay, func() { o.reading.Heard(asOf, before) })
 	}
--- a/internal/standin/emulator/fleet_test.go
+++ b/internal/standin/emulator/fleet_test.go
@@ -93,3 +93,26 @@
 	g.Expect(r.Calls - calm.Calls).To(BeNumerically("<", 700))
 	g.Expect(r.Readers).To(BeNumerically("<=", 5))
 }
+
+// Guards against a return of the store from a copy that all hosts answer by listing it at once.
+func TestFewListAStoreThatCameBackFromACopy(t *testing.T) {
+	for name, f := range map[string]emulator.Fleet{
+		"8 hosts":   {Zones: 2, Large: 1, Small: 3, Upstreams: 50},
+		"84 hosts":  {Zones: 3, Large: 2, Small: 26, Upstreams: 150},
+		"195 hosts": fleet195(),
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			f.First, f.Length = true, 14*time.Second
+			f.StoreFrom, f.StoreUntil = 6*time.Second, 8500*time.Millisecond
+			away := emulator.PlayFleet(&f, 1)
+			f.StoreRestored = true
+			r := emulator.PlayFleet(&f, 1)
+			hosts := f.Zones * (f.Large + f.Small)
+			t.Logf("%d calls, %d without the copy, %d listed, the last host caught up after %v", r.Calls, away.Calls, r.Relisted, r.Caught[len(r.Caught)-1])
+			g.Expect(r.Caught).To(HaveLen(hosts))
+			g.Expect(r.Caught[hosts-1]).To(BeNumerically("<", 1500*time.Millisecond), "half of the bound for a drain")
+			g.Expect(r.Calls-away.Calls).To(BeNumerically("<=", 4*f.Zones*4), "the first in rank of each zone")
+		})
+	}
+}
