carrier: a daemon that starts after a return of the store is told what the others hold back

Callers would see: new flows at an upstream about to leave, or in an evacuated zone, from a host that started within the grace after a return and read the copy only. An answer to one that joins holds the later contents of upstreams, those that the copy lacks, and the evacuated zones, each with the time left. Without it TestWhatACopyLacksStaysInForceUntilItIsWrittenAgain fails at the host that it adds.

--- a/internal/connection/peer/news.go
+++ b/internal/connection/peer/news.go
@@ -200,6 +200,33 @@
 	// daemon that started after they went can look for itself and tell the callers of
 	// their flows.
 	Gone []GoneUpstream
+	// Held is, for one that joins, what the sender goes by in place of what the store says, which came back from
+	// a copy.
+	Held HeldBack
+}
+
+// HeldBack is what a daemon goes by in place of what the store says, which came back from a copy.
+type HeldBack struct {
+	_ struct{} `cbor:",toarray"`
+	// Upstreams are of a later content than their entries, or have none, Zones are evacuated though the store lacks
+	// them. Each stays for a time.
+	Upstreams    []registry.Registration
+	UpstreamsFor time.Duration
+	Zones        []bundle.Zone
+	ZonesFor     time.Duration
+}
+
+// Check implements the check of a wire type.
+func (h *HeldBack) Check() error {
+	if len(h.Zones) > evacuation.MaxZones || h.UpstreamsFor < 0 || h.ZonesFor < 0 {
+		return ErrMessage
+	}
+	for i := range h.Upstreams {
+		if err := h.Upstreams[i].Check(); err != nil {
+			return err
+		}
+	}
+	return nil
 }
 
 // GoneUpstream is an upstream that left the list.
@@ -224,6 +251,9 @@
 	if err := c.Evacuated.Check(); err != nil {
 		return err
 	}
+	if err := c.Held.Check(); err != nil {
+		return err
+	}
 	for i := range c.Registrations {
 		if err := c.Registrations[i].Check(); err != nil {
 			return err
--- a/internal/process/carrier/catalog.go
+++ b/internal/process/carrier/catalog.go
@@ -146,7 +146,7 @@
 		c.confirmBundleAt(as, got.BundleAsOf)
 	}
 	if got.AsOf < c.known.catalog.AsOf || !got.Listed && !got.Changed {
-		return nil
+		return c.takeHeldBack(&got.Held, now)
 	}
 	c.known.catalog.DoubtFor(got.Doubt, now)
 	changed := c.changeList(func() bool {
@@ -159,6 +159,7 @@
 	if changed {
 		resets = c.follow(now)
 	}
+	resets = append(resets, c.takeHeldBack(&got.Held, now)...)
 	// Changes may not have led to the sender's list: entries of the same revision that
 	// only one of the two has. Then the whole list is asked for next.
 	c.known.lacksWholeList = got.Changed && got.Digest != c.known.catalog.Digest()
@@ -172,6 +173,19 @@
 	return resets
 }
 
+// takeHeldBack takes over what another daemon goes by in place of what the store says. It returns resets for flows that
+// ended by it. c.mu is held.
+func (c *Carrier) takeHeldBack(h *peer.HeldBack, now time.Time) []cookie.Reset {
+	before := c.known.evacuated.Zones()
+	if c.known.evacuated.HoldBack(h.Zones, h.ZonesFor, now) {
+		c.putEvacuations(before, bundleSource{source: "Peer"}, now)
+	}
+	if c.known.catalog.HoldBack(h.Upstreams, h.UpstreamsFor, now) {
+		return c.follow(now)
+	}
+	return nil
+}
+
 func (m *members) handleRPC(_ context.Context, _ *jsonrpc2.Conn, r *jsonrpc2.Request) (any, error) {
 	if r.Method != peer.MethodCatalog {
 		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "unknown method " + r.Method}
@@ -242,6 +256,8 @@
 	}
 	out.Known, out.Age = true, now.Sub(known)
 	if params.Joining {
+		out.Held.Upstreams, out.Held.UpstreamsFor = c.known.catalog.HeldBack(now)
+		out.Held.Zones, out.Held.ZonesFor = c.known.evacuated.HeldBack(now)
 		out.Changes = c.known.catalog.Remembered()
 		out.Changed = len(out.Changes) > 0
 	}
--- a/internal/process/carrier/restored_test.go
+++ b/internal/process/carrier/restored_test.go
@@ -104,6 +104,10 @@
 		g.Expect(s.HeldOverOlder).To(Equal(1))
 		g.Expect(s.Kinds).To(HaveLen(3))
 	}
+	h, err := w.AddHost(t.Context())
+	g.Expect(err).NotTo(HaveOccurred())
+	nodes = append(nodes, openNode(t, w, h))
+	g.Eventually(kept, patience).Should(BeTrue(), "the others tell one that starts")
 	w.WriteAgain(time.Second)
 	time.Sleep(objects.RestoreGrace)
 	g.Consistently(kept, time.Second).Should(BeTrue(), "the store tells it again")
--- a/internal/version/evacuation/inforce.go
+++ b/internal/version/evacuation/inforce.go
@@ -1,6 +1,7 @@
 package evacuation
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -36,6 +37,33 @@
 	return true
 }
 
+// HeldBack returns the zones that the copy lacks, in order, and for how long they stay, for a daemon that started since
+// and can't know it.
+func (f *InForce) HeldBack(now time.Time) ([]bundle.Zone, time.Duration) {
+	var left time.Duration
+	zones := slices.Sorted(maps.Keys(f.held))
+	for _, until := range f.held {
+		left = max(left, until.Sub(now))
+	}
+	return zones, left
+}
+
+// HoldBack takes over zones that another daemon holds back, for a time. It reports whether it knew one of them not.
+func (f *InForce) HoldBack(zones []bundle.Zone, left time.Duration, now time.Time) bool {
+	changed := false
+	for _, zone := range zones {
+		if _, held := f.held[zone]; held || f.Stored.Has(zone) {
+			continue
+		}
+		if f.held == nil {
+			f.held = make(map[bundle.Zone]time.Time)
+		}
+		f.held[zone] = now.Add(min(left, objects.RestoreGrace))
+		changed = true
+	}
+	return changed
+}
+
 // Expire lets those go whose time is over. It reports whether there were any.
 func (f *InForce) Expire(now time.Time) bool {
 	gone := false
--- a/internal/version/evacuation/inforce_test.go
+++ b/internal/version/evacuation/inforce_test.go
@@ -47,4 +47,25 @@
 	}
 }
 
+// Guards against flows that a daemon which starts after a return of the store sends into an evacuated zone that the copy
+// lacks: the others know it.
+func TestZonesHeldBackByAnotherAreTakenOver(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(0, 0)
+	var old, newcomer evacuation.InForce
+	era, err := objects.NewPosition(1, 20)
+	g.Expect(err).NotTo(HaveOccurred())
+	old.Take(evacuation.NewZones(zones("a", "b"), 27), now)
+	for _, f := range []*evacuation.InForce{&old, &newcomer} {
+		f.Take(evacuation.NewZones(zones("b"), era), now)
+	}
+	held, left := old.HeldBack(now.Add(time.Second))
+	g.Expect(held).To(Equal(zones("a")))
+	g.Expect(newcomer.HoldBack(held, left, now.Add(time.Second))).To(BeTrue())
+	g.Expect(newcomer.HoldBack(held, left, now.Add(time.Second))).To(BeFalse())
+	g.Expect(newcomer.Zones()).To(Equal(zones("a", "b")))
+	g.Expect(newcomer.Expire(now.Add(objects.RestoreGrace))).To(BeTrue())
+	g.Expect(newcomer.Zones()).To(Equal(zones("b")))
+}
+
 func zones(names ...bundle.Zone) []bundle.Zone { return names }
--- a/internal/version/registry/restored.go
+++ b/internal/version/registry/restored.go
@@ -1,6 +1,8 @@
 package registry
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/fescueshed/fescueshed/internal/version/bundle"
@@ -82,3 +84,52 @@
 	clear(c.older)
 	return true
 }
+
+// HeldBack returns the upstreams that are used by what was known of them before the store came back from a copy, and
+// for how long, for a daemon that started since and can't know it.
+func (c *Catalog) HeldBack(now time.Time) ([]Registration, time.Duration) {
+	left := c.restoredUntil.Sub(now)
+	if left <= 0 {
+		return nil, 0
+	}
+	var out []Registration
+	for _, id := range slices.Sorted(maps.Keys(c.older)) {
+		out = append(out, c.entries[id])
+	}
+	for _, id := range slices.Sorted(maps.Keys(c.vanished)) {
+		out = append(out, c.vanished[id].Registration)
+	}
+	return out, left
+}
+
+// HoldBack takes over what another daemon holds back of the same list, for a time. It reports whether anything changed.
+func (c *Catalog) HoldBack(list []Registration, left time.Duration, now time.Time) bool {
+	until := now.Add(min(left, objects.RestoreGrace))
+	changed := false
+	for _, later := range list {
+		changed = c.holdBack(later, until) || changed
+	}
+	if changed && until.After(c.restoredUntil) {
+		c.restoredUntil = until
+	}
+	return changed
+}
+
+func (c *Catalog) holdBack(later Registration, until time.Time) bool {
+	r, listed := c.entries[later.ID]
+	_, vanished := c.vanished[later.ID]
+	_, held := c.older[later.ID]
+	switch {
+	case !listed && vanished, held, listed && later.Revision != r.Revision:
+		return false
+	case !listed:
+		c.vanished[later.ID] = kept{Registration: later, until: until}
+	default:
+		c.older[later.ID] = r
+		c.count(&r, -1)
+		c.count(&later, 1)
+		c.entries[later.ID] = later
+	}
+	c.changed[later.ID] = struct{}{}
+	return true
+}
--- a/internal/version/registry/restored_test.go
+++ b/internal/version/registry/restored_test.go
@@ -185,3 +185,43 @@
 	c.Expire(now.Add(objects.RestoreGrace))
 	g.Expect(usedAs(c)).To(Equal(useReady))
 }
+
+// Guards against flows that a daemon which starts after a return of the store places at an upstream whose drain the copy
+// lacks: the others know it.
+func TestCatalogTakesOverWhatAnotherHoldsBack(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(0, 0)
+	old, newcomer := registry.NewCatalog(), registry.NewCatalog()
+	gone := beat(2, at(0, 25), 4, false)
+	old.Replace([]registry.Registration{beat(1, at(0, 26), 7, true), gone}, at(0, 27), now)
+	copied := []registry.Registration{beat(1, at(1, 19), 5, false)}
+	old.Replace(copied, at(1, 20), now)
+	newcomer.Replace(copied, at(1, 20), now)
+	g.Expect(usedAs(newcomer)).To(Equal(useReady))
+
+	now = now.Add(time.Second)
+	held, left := old.HeldBack(now)
+	g.Expect(left).To(Equal(objects.RestoreGrace - time.Second))
+	g.Expect(newcomer.HoldBack(held, left, now)).To(BeTrue())
+	g.Expect(newcomer.HoldBack(held, left, now)).To(BeFalse(), "it knows")
+	g.Expect(usedAs(newcomer)).To(Equal(useDraining))
+	g.Expect(newcomer.InUse()).To(HaveLen(2))
+	g.Expect(newcomer.List()).To(Equal(copied), "what it tells is the store's word")
+	g.Expect(newcomer.Digest()).To(Equal(old.Digest()))
+
+	newcomer.Expire(now.Add(left + time.Millisecond))
+	g.Expect(usedAs(newcomer)).To(Equal(useReady))
+	g.Expect(newcomer.InUse()).To(HaveLen(1))
+	_, left = old.HeldBack(now.Add(objects.RestoreGrace))
+	g.Expect(left).To(BeZero())
+}
+
+// Guards against a hold that goes over what an upstream wrote since.
+func TestCatalogHoldsBackNothingThatWasWrittenAgain(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(0, 0)
+	c := registry.NewCatalog()
+	c.Replace([]registry.Registration{beat(1, at(1, 23), 9, false)}, at(1, 23), now)
+	g.Expect(c.HoldBack([]registry.Registration{beat(1, at(1, 19), 7, true)}, time.Second, now)).To(BeFalse())
+	g.Expect(usedAs(c)).To(Equal(useReady))
+}
