--- a/internal/process/carrier/carrier.go
+++ b/internal/process/carrier/carrier.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"crypto/sha256"
-	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -12,33 +11,16 @@
 	"k8s.io/klog/v2"
 
 	"github.com/fescueshed/fescueshed/internal/connection/cookie"
+	"github.com/fescueshed/fescueshed/internal/connection/metadata"
 	"github.com/fescueshed/fescueshed/internal/connection/peer"
 	"github.com/fescueshed/fescueshed/internal/connection/upstream"
 	"github.com/fescueshed/fescueshed/internal/process/settings"
 	"github.com/fescueshed/fescueshed/internal/process/steps"
 	"github.com/fescueshed/fescueshed/internal/process/timer"
 	"github.com/fescueshed/fescueshed/internal/version/bundle"
-	"github.com/fescueshed/fescueshed/internal/version/objects"
 	"github.com/fescueshed/fescueshed/internal/version/registry"
 )
 
-// Platform is how a daemon speaks to what is around it.
-type Platform struct {
-	Packets cookie.Codec
-	// Store makes the calls that the feeds are read by.
-	Store         *objects.Caller
-	Bundles       objects.Feed[bundle.Accepted]
-	Registrations objects.Feed[registry.Registration]
-	// Evacuations has an object for each evacuated zone.
-	Evacuations objects.Feed[bundle.Zone]
-	// Contacts is the object by which daemons find each other.
-	Contacts objects.Cell[peer.Contacts]
-	// Readiness makes the handler that routers ask.
-	Readiness func(ready func() bool) http.Handler
-	// HealthID reads from a health answer which upstream gave it, zero if unknown.
-	HealthID func(http.Header) bundle.UpstreamID
-}
-
 // The periods at which the parts of a daemon look at the time.
 const (
 	// awakePeriod is how often the process shows itself that it runs. It is much
@@ -57,7 +39,7 @@
 // Carrier is a running balancer.
 type Carrier struct {
 	cfg      atomic.Pointer[settings.Cookie]
-	platform Platform
+	platform metadata.Platform
 	inForce  bundle.InForce
 	pauses   *timer.Pauses
 	data     *data
@@ -88,7 +70,7 @@
 
 // New opens the sockets of a daemon and starts its parts. The clean-up function
 // ends them at once; Leave ends them gracefully before.
-func New(ctx context.Context, cfg *settings.Cookie, p Platform) (*Carrier, func(), error) {
+func New(ctx context.Context, cfg *settings.Cookie, p metadata.Platform) (*Carrier, func(), error) {
 	c := &Carrier{
 		platform: p,
 		pauses:   timer.NewPauses(pauseLimit),
--- a/internal/process/carrier/command.go
+++ b/internal/process/carrier/command.go
@@ -11,6 +11,7 @@
 
 	"k8s.io/klog/v2"
 
+	"github.com/fescueshed/fescueshed/internal/connection/metadata"
 	"github.com/fescueshed/fescueshed/internal/process/logs"
 	"github.com/fescueshed/fescueshed/internal/process/settings"
 	"github.com/fescueshed/fescueshed/internal/version/objects"
@@ -22,7 +23,7 @@
 	Settings      string `help:"File of settings, JSON with comments." required:"" type:"path"`
 	PrintSettings bool   `help:"Print the settings with their defaults and end."`
 	// Connect returns how the daemon speaks to what is around it.
-	Connect func(store *objects.Caller) Platform `kong:"-"`
+	Connect func(store *objects.Caller) metadata.Platform `kong:"-"`
 }
 
 // settingsPeriod is how often the settings file is looked at: it may change
--- a/internal/process/carrier/data_test.go
+++ b/internal/process/carrier/data_test.go
@@ -10,6 +10,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/fescueshed/fescueshed/internal/connection/cookie"
+	"github.com/fescueshed/fescueshed/internal/connection/metadata"
 	"github.com/fescueshed/fescueshed/internal/connection/upstream"
 	"github.com/fescueshed/fescueshed/internal/process/settings"
 	"github.com/fescueshed/fescueshed/internal/process/timer"
@@ -39,7 +40,7 @@
 			start:    newStartup(now, false),
 			pauses:   timer.NewPauses(pauseLimit),
 			logs:     newDecisionLog(1),
-			platform: Platform{Packets: firstPackets{}},
+			platform: metadata.Platform{Packets: firstPackets{}},
 		}
 		c.cfg.Store(&settings.Cookie{})
 		c.engine.SetRouting(bundle.NewRouting(1, &bundle.Bundle{}, nil), now)
