--- a/internal/connection/peer/codec.go
+++ b/internal/connection/peer/codec.go
@@ -19,7 +19,7 @@
 	DomainNumberedMembership Domain = "fescueshed membership 2\n"
 	DomainNews               Domain = "fescueshed news 5\n"
 	DomainReport             Domain = "fescueshed report 3\n"
-	DomainCatalog            Domain = "fescueshed catalog 4\n"
+	DomainCatalog            Domain = "fescueshed catalog 5\n"
 )
 
 // checked is a pointer to a wire type that checks itself when decoded.
