--- a/internal/process/operator/zone.go
+++ b/internal/process/operator/zone.go
@@ -69,7 +69,9 @@
 		}); err != nil {
 			return nil, err
 		}
-		list.Add(p)
+		if err := list.Add(p); err != nil {
+			return nil, err
+		}
 		for i := range p.Objects {
 			if o := &p.Objects[i]; o.Err == nil {
 				out = append(out, o.Value.Zone)
--- a/internal/standin/emulator/fleet_test.go
+++ b/internal/standin/emulator/fleet_test.go
@@ -109,7 +109,8 @@
 			f.StoreRestored = true
 			r := emulator.PlayFleet(&f, 1)
 			hosts := f.Zones * (f.Large + f.Small)
-			t.Logf("%d calls, %d without the copy, %d listed, the last host caught up after %v", r.Calls, away.Calls, r.Relisted, r.Caught[len(r.Caught)-1])
+			t.Logf("%d calls, %d without the copy, %d listed, the last host caught up after %v",
+				r.Calls, away.Calls, r.Relisted, r.Caught[len(r.Caught)-1])
 			g.Expect(r.Caught).To(HaveLen(hosts))
 			g.Expect(r.Caught[hosts-1]).To(BeNumerically("<", 1500*time.Millisecond), "half of the bound for a drain")
 			g.Expect(r.Calls-away.Calls).To(BeNumerically("<=", 4*f.Zones*4), "the first in rank of each zone")
--- a/internal/version/evacuation/inforce_test.go
+++ b/internal/version/evacuation/inforce_test.go
@@ -19,8 +19,10 @@
 		known, copied, later []bundle.Zone
 		held, believed       []bundle.Zone
 	}{
-		"copied":                       {known: zones("a"), copied: zones("a"), later: zones("a"), held: zones("a"), believed: zones("a")},
-		"lost":                         {known: zones("a", "b"), copied: zones("b"), later: zones("b"), held: zones("a", "b"), believed: zones("b")},
+		"copied": {known: zones("a"), copied: zones("a"), later: zones("a"), held: zones("a"), believed: zones("a")},
+		"lost": {
+			known: zones("a", "b"), copied: zones("b"), later: zones("b"), held: zones("a", "b"), believed: zones("b"),
+		},
 		"lost and asked for again":     {known: zones("a"), later: zones("a"), held: zones("a"), believed: zones("a")},
 		"asked for after the return":   {later: zones("a"), held: zones("a"), believed: zones("a")},
 		"taken back after the return":  {known: zones("a"), copied: zones("a"), held: none, believed: none},
--- a/internal/version/registry/history_test.go
+++ b/internal/version/registry/history_test.go
@@ -36,15 +36,11 @@
 
 func (s *historyStore) asOf() objects.Position { return at(s.era, s.revision) }
 
-func (s *historyStore) write(r registry.Registration, gone bool) {
+func (s *historyStore) write(r registry.Registration) {
 	s.revision++
 	r.Revision = s.asOf()
-	if gone {
-		delete(s.entries, int(r.ID))
-	} else {
-		s.entries[int(r.ID)] = r
-	}
-	s.events = append(s.events, historyEvent{revision: s.revision, Change: registry.Change{Registration: r, Gone: gone}})
+	s.entries[int(r.ID)] = r
+	s.events = append(s.events, historyEvent{revision: s.revision, Change: registry.Change{Registration: r}})
 }
 
 func (s *historyStore) copy() {
@@ -91,7 +87,6 @@
 	changes []registry.Change
 	listed  bool
 	asOf    objects.Position
-	digest  uint64
 }
 
 // historyWorld is upstreams that write to a store, and catalogs that read it and tell each other.
@@ -118,7 +113,7 @@
 	}
 	for i := range w.truth {
 		w.truth[i] = beat(i+1, 0, 1, false)
-		w.store.write(w.truth[i], false)
+		w.store.write(w.truth[i])
 	}
 	w.store.copy()
 	return w
@@ -132,11 +127,11 @@
 	switch w.any(10, "event") {
 	case 0: // It writes again what it is.
 		w.truth[u].Sequence++
-		w.store.write(w.truth[u], false)
+		w.store.write(w.truth[u])
 	case 1:
 		w.truth[u].Draining = true
 		w.truth[u].Sequence++
-		w.store.write(w.truth[u], false)
+		w.store.write(w.truth[u])
 	case 2:
 		w.store.copy()
 	case 3:
@@ -219,7 +214,7 @@
 func (w *historyWorld) settle() {
 	for i := range w.truth {
 		w.truth[i].Sequence++
-		w.store.write(w.truth[i], false)
+		w.store.write(w.truth[i])
 	}
 	for i, c := range w.catalogs {
 		if changes, ok := w.store.since(c.AsOf); ok && c.AsOf != 0 {
--- a/internal/version/registry/restored_test.go
+++ b/internal/version/registry/restored_test.go
@@ -46,7 +46,8 @@
 	g.Expect(c.AsOf).To(Equal(at(1, 21)))
 	r, _ := inUse(c, 1)
 	g.Expect(r.Draining).To(BeTrue())
-	g.Expect(c.Replace([]registry.Registration{beat(1, at(0, 99), 9, false)}, at(0, 99), now)).To(BeFalse(), "an answer that comes late")
+	late := []registry.Registration{beat(1, at(0, 99), 9, false)}
+	g.Expect(c.Replace(late, at(0, 99), now)).To(BeFalse(), "an answer of the era before")
 	g.Expect(c.AsOf).To(Equal(at(1, 21)))
 }
 
