--- a/cmd/try/cookie.go
+++ b/cmd/try/cookie.go
@@ -8,6 +8,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/fescueshed/fescueshed/internal/standin/flows"
 	"github.com/fescueshed/fescueshed/internal/standin/world"
 )
 
@@ -17,11 +18,11 @@
 	cookieCallers   = 40
 )
 
-// runCookie plays a calm trial with flows that carry a cookie. Failures are for the
-// soak, which injects them at random.
+// runCookie plays a trial with flows that carry a cookie. The soak injects faults at random.
 func (c *runCommand) runCookie(ctx context.Context) error {
-	if len(c.Failure) > 0 {
-		return eris.New("--failure is for --carriage geneve; go run ./cmd/soak injects faults into cookie flows")
+	failures, err := findCookieFailures(c.Failure)
+	if err != nil {
+		return err
 	}
 	binary := c.Binary
 	if binary == "" {
@@ -44,17 +45,23 @@
 		return err
 	}
 	defer closeWorld()
-	_, stop, err := w.StartProcesses(ctx, binary, dir)
+	procs, stop, err := w.StartProcesses(ctx, binary, dir)
 	if err != nil {
 		return err
 	}
 	defer stop()
 	work, end := context.WithTimeout(ctx, time.Duration(c.Seconds)*time.Second)
 	defer end()
+	startCookieFailures(work, failures, w, procs)
 	tallies, err := w.Work(work)
 	if err != nil {
 		return err
 	}
+	return c.judgeCookie(w, tallies)
+}
+
+// judgeCookie prints what callers saw, and returns an error if a promise was broken.
+func (c *runCommand) judgeCookie(w *world.World, tallies []flows.Tally) error {
 	broken := w.Finish()
 	requests, answered, opened := 0, 0, 0
 	for i := range tallies {
--- a/cmd/try/failure.go
+++ b/cmd/try/failure.go
@@ -5,8 +5,10 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net/http"
 	"net/netip"
+	"slices"
 	"sort"
 	"syscall"
 	"time"
@@ -52,6 +54,10 @@
 	for _, n := range names {
 		fmt.Printf("%-22s %s\n", n, table[n].what)
 	}
+	fmt.Println("\nwith --carriage cookie:")
+	for _, n := range slices.Sorted(maps.Keys(cookieFailures)) {
+		fmt.Printf("%-22s %s\n", n, cookieFailures[n].what)
+	}
 }
 
 const settleTime = 3 * time.Second
--- a/internal/standin/world/world.go
+++ b/internal/standin/world/world.go
@@ -371,7 +371,9 @@
 func (w *World) Disturbed(d time.Duration) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.unstable = time.Now().Add(d)
+	if until := time.Now().Add(d); until.After(w.unstable) {
+		w.unstable = until
+	}
 }
 
 func (w *World) settled(at time.Time) bool { return at.Sub(w.unstable) > settleAfter }
