--- a/internal/connection/cookie/warmup_test.go
+++ b/internal/connection/cookie/warmup_test.go
@@ -9,6 +9,7 @@
 	"github.com/fescueshed/fescueshed/internal/connection/cookie"
 	"github.com/fescueshed/fescueshed/internal/connection/upstream"
 	"github.com/fescueshed/fescueshed/internal/version/bundle"
+	"github.com/fescueshed/fescueshed/internal/version/objects"
 	"github.com/fescueshed/fescueshed/internal/version/registry"
 )
 
@@ -55,6 +56,22 @@
 		Expect(placed(e, 90, start, list[0].ID)).To(BeNumerically("<=", 4))
 	})
 
+	// Guards against upstreams that count as slow again since the store came back from a copy and gave their entries new
+	// positions.
+	It("isn't slow again when its entry only has another position", func() {
+		list := registrations(2)
+		e := slowEngine(fixedShare(4), list)
+		warm := start.Add(slowFor)
+		for i := range list {
+			p, err := objects.NewPosition(1, list[i].Revision.Revision())
+			Expect(err).NotTo(HaveOccurred())
+			list[i].Revision, list[i].Created = p, p
+		}
+		setUpstreams(e, list, warm)
+		e.Confirm(warm)
+		Expect(placed(e, 90, warm, list[0].ID)).To(BeNumerically(">", 20))
+	})
+
 	It("gets its load as others do once it isn't slow any more", func() {
 		list := registrations(2)
 		e := slowEngine(fixedShare(4), list)
--- a/internal/version/registry/registration.go
+++ b/internal/version/registry/registration.go
@@ -81,6 +81,13 @@
 // Known reports whether there is a content, be it that of before.
 func (r *Registration) Known() bool { return r.Address.IsValid() }
 
+// SameContent reports whether both say the same, as of whatever position.
+func (r *Registration) SameContent(o *Registration) bool {
+	same := *r
+	same.Created, same.Revision = o.Created, o.Revision
+	return same == *o
+}
+
 // Restart is what an entry shows of a new incarnation of its upstream.
 type Restart uint8
 
