--- a/cmd/fescueshed/status.go
+++ b/cmd/fescueshed/status.go
@@ -86,11 +86,11 @@
 	for _, k := range s.Kinds {
 		fmt.Fprintf(w, "%s\t%s\t%.1f s\n", k.Kind, k.AsOf, k.Age)
 	}
-	if s.Era == 0 {
+	if s.Epoch == 0 {
 		return
 	}
-	fmt.Fprintf(w, "back from a copy %d times, heard %s; upstreams held over an older entry %d, though missing %d\n",
-		s.Era, s.EraSince.Format(time.RFC3339), s.HeldOverOlder, s.HeldThoughMissing)
+	fmt.Fprintf(w, "restored %d times, heard %s; upstreams held over an older entry %d, though missing %d\n",
+		s.Epoch, s.EpochSince.Format(time.RFC3339), s.HeldOverOlder, s.HeldThoughMissing)
 }
 
 func printEvacuated(w io.Writer, zones []status.EvacuatedZone) {
--- a/cmd/soak/fault.go
+++ b/cmd/soak/fault.go
@@ -132,26 +132,26 @@
 	return "the store forgets its history"
 }
 
-// restore lets the store come back from one of the copies that were made lately.
+// restore restores the store from one of the latest snapshots.
 func (r *run) restore() string {
-	c, d := r.copies[r.rng.IntN(len(r.copies))], r.duration()/2
+	c, d := r.snapshots[r.rng.IntN(len(r.snapshots))], r.duration()/2
 	r.w.RestoreStore(c.restore, d)
-	return fmt.Sprintf("the store is away for %v and comes back as it was %v ago", d, time.Since(c.at))
+	return fmt.Sprintf("the store is away for %v and restored as it was %v ago", d, time.Since(c.at))
 }
 
-// storeCopy is a copy of the store that was made at a time.
-type storeCopy struct {
+// storeSnapshot is a snapshot that was taken at a time.
+type storeSnapshot struct {
 	at      time.Time
 	restore func()
 }
 
-// copyAge is how old a copy may be when the store is lost.
-const copyAge = 4 * time.Second
+// snapshotAge is how old a snapshot may be when the store is lost.
+const snapshotAge = 4 * time.Second
 
-// copyStore makes a copy and forgets those that are too old.
-func (r *run) copyStore() {
-	r.copies = slices.DeleteFunc(r.copies, func(c storeCopy) bool { return time.Since(c.at) > copyAge })
-	r.copies = append(r.copies, storeCopy{at: time.Now(), restore: r.w.Store.Copy()})
+// takeSnapshot takes a snapshot and forgets those that are too old.
+func (r *run) takeSnapshot() {
+	r.snapshots = slices.DeleteFunc(r.snapshots, func(c storeSnapshot) bool { return time.Since(c.at) > snapshotAge })
+	r.snapshots = append(r.snapshots, storeSnapshot{at: time.Now(), restore: r.w.Store.Snapshot()})
 }
 
 func (r *run) routerCut() string {
--- a/cmd/soak/run.go
+++ b/cmd/soak/run.go
@@ -25,8 +25,8 @@
 	// none asks for an upstream at an address of its own.
 	none netip.AddrPort
 	plan []string
-	// copies are those of the store that it may come back from.
-	copies []storeCopy
+	// snapshots are those that the store may be restored from.
+	snapshots []storeSnapshot
 }
 
 // Times around the faults of a run.
@@ -141,7 +141,7 @@
 	for time.Now().Before(until) && ctx.Err() == nil {
 		pause := time.Duration(r.rng.Int64N(2 * int64(c.Pause)))
 		time.Sleep(min(pause, time.Until(until)))
-		r.copyStore()
+		r.takeSnapshot()
 		f := draw(r.rng)
 		what := f.inject(r)
 		if what == "" {
--- a/cmd/try/cookiefailure.go
+++ b/cmd/try/cookiefailure.go
@@ -33,14 +33,14 @@
 )
 
 var cookieFailures = map[string]cookieFailure{
-	"store-restore":  {"the store is away for a second and comes back from a copy", restoreAfter, restoreStore},
+	"store-restore":  {"the store is away for a second and is restored from a snapshot", restoreAfter, restoreStore},
 	"upstream-drain": {"an upstream drains and leaves", drainAfter, drainServer},
 	"balancer-kill":  {"a balancer dies without notice", restoreAfter + storeAway, killBalancer},
 	"zone-cut":       {"a zone is cut off from the others for four seconds and healed", restoreAfter, cutZone},
 }
 
 func restoreStore(w *world.World, _ []*world.Process) {
-	restore := w.Store.Copy()
+	restore := w.Store.Snapshot()
 	for range lostWrites {
 		w.Rewrite()
 	}
--- a/internal/connection/cookie/engine.go
+++ b/internal/connection/cookie/engine.go
@@ -168,7 +168,7 @@
 	u := e.upstreams[r.ID]
 	switch {
 	case u != nil && u.listed && u.entry.SameContent(r):
-		// After a return of the store each entry has another position. What was counted from its last change goes on.
+		// After a restore of the store each entry has another position. What was counted from its last change goes on.
 		u.entry = *r
 		return nil
 	case u != nil && r.Unusable && (u.listed || !r.Known()):
--- a/internal/connection/cookie/warmup_test.go
+++ b/internal/connection/cookie/warmup_test.go
@@ -56,7 +56,7 @@
 		Expect(placed(e, 90, start, list[0].ID)).To(BeNumerically("<=", 4))
 	})
 
-	// Guards against upstreams that count as slow again since the store came back from a copy and gave their entries new
+	// Guards against upstreams that count as slow again since the store was restored from a snapshot and gave their entries new
 	// positions.
 	It("isn't slow again when its entry only has another position", func() {
 		list := registrations(2)
--- a/internal/connection/peer/news.go
+++ b/internal/connection/peer/news.go
@@ -200,12 +200,12 @@
 	// daemon that started after they went can look for itself and tell the callers of
 	// their flows.
 	Gone []GoneUpstream
-	// Held is, for one that joins, what the sender goes by in place of what the store says, which came back from
-	// a copy.
+	// Held is, for one that joins, what the sender goes by in place of what the store says, which was restored
+	// from a snapshot.
 	Held HeldBack
 }
 
-// HeldBack is what a daemon goes by in place of what the store says, which came back from a copy.
+// HeldBack is what a daemon goes by in place of what the store says, which was restored from a snapshot.
 type HeldBack struct {
 	_ struct{} `cbor:",toarray"`
 	// Upstreams are of a later content than their entries, or have none, Zones are evacuated though the store lacks
--- a/internal/process/carrier/catalog.go
+++ b/internal/process/carrier/catalog.go
@@ -134,10 +134,10 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.engine.LearnGone(got.Gone, now)
-	if got.AsOf.Era() < c.known.era {
+	if got.AsOf.Epoch() < c.known.epoch {
 		return nil // It is of a store that is no longer.
 	}
-	c.seeEra(got.AsOf, "Peer", now)
+	c.seeEpoch(got.AsOf, "Peer", now)
 	if got.Known {
 		c.takeEvacuations(got.Evacuated, bundleSource{source: "Peer", age: now.Sub(as)}, now)
 		c.confirmEvacuations(as)
--- a/internal/process/carrier/contacts.go
+++ b/internal/process/carrier/contacts.go
@@ -33,10 +33,10 @@
 type contacts struct {
 	c    *Carrier
 	cell objects.Cell[peer.Contacts]
-	// known is what was read or written last, at a time, in an era of the store.
+	// known is what was read or written last, at a time, in an epoch of the store.
 	known objects.Object[peer.Contacts]
 	at    time.Time
-	era   objects.Era
+	epoch objects.Epoch
 }
 
 func (c *Carrier) startContacts(ctx context.Context) (func(), error) {
@@ -113,9 +113,9 @@
 
 // keep replaces the contacts in the store if they are out of date.
 func (k *contacts) keep(ctx context.Context) {
-	if era := k.c.storeEra(); era != k.era {
-		// They may have been lost with the time since the copy.
-		k.at, k.era = time.Time{}, era
+	if epoch := k.c.storeEpoch(); epoch != k.epoch {
+		// They may have been lost with the time since the snapshot.
+		k.at, k.epoch = time.Time{}, epoch
 	}
 	if k.at.IsZero() || time.Since(k.at) > contactsRead {
 		err := k.read(ctx)
--- a/internal/process/carrier/doc.go
+++ b/internal/process/carrier/doc.go
@@ -10,7 +10,7 @@
 //	start.go                     how it comes to know enough to place flows
 //	follower.go                  reading one kind of the store's objects: lists, watches, what fails
 //	knowledge.go                 what is known of the store, as of which position and when
-//	history.go                   words of an earlier era or position, and what is held when the store was restored
+//	history.go                   words of an earlier epoch or position, and what is held when the store was restored
 //	store.go, bundle.go,         taking in upstreams, bundles and evacuated zones, whoever told them
 //	evacuation.go
 //	members.go, memberlog.go     who the other daemons are
@@ -22,5 +22,5 @@
 //
 // Locks: bundle.InForce, then Carrier.mu, which guards engine, catalog and reading,
 // then members.mu. Nothing is sent while one of the last two is held, and lines are written only of what
-// changes rarely: evacuations, upstreams that start again, returns of the store.
+// changes rarely: evacuations, upstreams that start again, restores of the store.
 package carrier
--- a/internal/process/carrier/evacuation.go
+++ b/internal/process/carrier/evacuation.go
@@ -53,7 +53,7 @@
 	}
 }
 
-// expireEvacuations lets zones be used again that the store lacks since it came back from a copy. c.mu is held.
+// expireEvacuations lets zones be used again that the store lacks since it was restored from a snapshot. c.mu is held.
 func (c *Carrier) expireEvacuations(now time.Time) {
 	before := c.known.evacuated.Zones()
 	if c.known.evacuated.Expire(now) {
--- a/internal/process/carrier/history.go
+++ b/internal/process/carrier/history.go
@@ -18,22 +18,23 @@
 // outdatedLines is how many lines a second tell of such answers of one kind.
 const outdatedLines = 2
 
-// seeEra notes the era that a word of the store's is of, and logs a later one than was known. c.mu is held.
-func (c *Carrier) seeEra(asOf objects.Position, source string, now time.Time) {
-	before := c.known.era
-	if c.known.seeEra(asOf.Era(), now) {
-		klog.InfoS("Store came back from a copy", "Era", asOf.Era(), "Before", before, "AsOf", asOf, "Source", source)
+// seeEpoch notes the epoch of an answer of the store or of a message, and logs a later one than was known. c.mu is held.
+func (c *Carrier) seeEpoch(asOf objects.Position, source string, now time.Time) {
+	before := c.known.epoch
+	if c.known.seeEpoch(asOf.Epoch(), now) {
+		klog.InfoS("Store restored", "Epoch", asOf.Epoch(), "Before", before, "AsOf", asOf, "Source", source)
 	}
 }
 
 // changeList changes the catalog by a function, which reports whether it did, and logs what is held if that brings the
-// list of a store that came back from a copy. c.mu is held.
+// list of a store that was restored from a snapshot. c.mu is held.
 func (c *Carrier) changeList(change func() bool) bool {
 	before := c.known.catalog.AsOf
 	changed := change()
-	if now := c.known.catalog.AsOf; before != 0 && now.Era() != before.Era() {
+	if now := c.known.catalog.AsOf; before != 0 && now.Epoch() != before.Epoch() {
 		older, missing := c.known.catalog.Held()
-		klog.InfoS("Upstreams of a copy", "AsOf", now, "Before", before, "HeldOverOlderEntry", older, "HeldThoughMissing", missing)
+		klog.InfoS("Upstreams of a restored store", "AsOf", now, "Before", before,
+			"HeldOverOlderEntry", older, "HeldThoughMissing", missing)
 	}
 	return changed
 }
@@ -46,17 +47,17 @@
 		return
 	}
 	if o, m := c.known.catalog.Held(); o < older {
-		klog.InfoS("Store's older entries are believed", "Upstreams", older-o, "MissingGone", missing-m)
+		klog.InfoS("Held upstreams released", "Upstreams", older-o, "MissingGone", missing-m)
 	}
 	// Entries that are gone now end no flow by themselves: they are looked at first.
 	_ = c.follow(now)
 }
 
-// storeEra returns the latest era of the store that was heard of.
-func (c *Carrier) storeEra() objects.Era {
+// storeEpoch returns the latest epoch of the store that was heard of.
+func (c *Carrier) storeEpoch() objects.Epoch {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.known.era
+	return c.known.epoch
 }
 
 // knownAsOf returns the position as of which a kind is known.
@@ -67,10 +68,10 @@
 }
 
 // checkAnswer returns ErrOutdated if the store answered as of an earlier position than was known when it was asked.
-// Taken in, such an answer would count as the store's word that nothing else has changed.
+// Taken in, such an answer would confirm that nothing else has changed.
 func (f *follower[T]) checkAnswer(asOf, before objects.Position, now time.Time) error {
 	f.c.mu.Lock()
-	f.c.seeEra(asOf, "Store", now)
+	f.c.seeEpoch(asOf, "Store", now)
 	f.c.mu.Unlock()
 	if asOf >= before {
 		return nil
--- a/internal/process/carrier/http.go
+++ b/internal/process/carrier/http.go
@@ -91,7 +91,7 @@
 			return time.Since(c.known.confirmed[k]).Seconds()
 		})
 	}
-	s.NewGauge("fescueshed_store_era", func() float64 { return float64(c.storeEra()) })
+	s.NewGauge("fescueshed_store_epoch", func() float64 { return float64(c.storeEpoch()) })
 	for k := range numKinds {
 		count(fmt.Sprintf("fescueshed_store_answers_outdated_total{kind=%q}", k), c.outdated[k].Load)
 		s.NewGauge(fmt.Sprintf("fescueshed_store_revision{kind=%q}", k), func() float64 {
--- a/internal/process/carrier/knowledge.go
+++ b/internal/process/carrier/knowledge.go
@@ -33,9 +33,9 @@
 	bundleAsOf objects.Position
 	catalog    *registry.Catalog
 	evacuated  evacuation.InForce
-	// era is the latest era of the store that was heard of, eraSince since when it is known.
-	era      objects.Era
-	eraSince time.Time
+	// epoch is the latest epoch of the store that was heard of, epochSince since when it is known.
+	epoch      objects.Epoch
+	epochSince time.Time
 	// lacksWholeBundle and lacksWholeList are set if what another daemon told didn't lead to its
 	// bundle or to its list.
 	lacksWholeBundle, lacksWholeList bool
@@ -46,12 +46,12 @@
 	failing, answered time.Time
 }
 
-// seeEra notes the era that an answer or a message tells, and reports whether it is a later one than was known.
-func (k *knowledge) seeEra(e objects.Era, now time.Time) bool {
-	if e <= k.era {
+// seeEpoch notes the epoch that an answer or a message tells, and reports whether it is a later one than was known.
+func (k *knowledge) seeEpoch(e objects.Epoch, now time.Time) bool {
+	if e <= k.epoch {
 		return false
 	}
-	k.era, k.eraSince = e, now
+	k.epoch, k.epochSince = e, now
 	return true
 }
 
--- a/internal/process/carrier/news.go
+++ b/internal/process/carrier/news.go
@@ -98,11 +98,11 @@
 	c := m.c
 	version := c.inForce.Version()
 	c.mu.Lock()
-	if n.AsOf.Era() < c.known.era {
+	if n.AsOf.Epoch() < c.known.epoch {
 		c.mu.Unlock()
-		return // The sender hasn't heard yet that the store came back from a copy.
+		return // The sender hasn't heard yet that the store was restored from a snapshot.
 	}
-	c.seeEra(n.AsOf, "News", now)
+	c.seeEpoch(n.AsOf, "News", now)
 	c.origin = n.From
 	c.known.catalog.DoubtFor(n.Doubt, now)
 	var resets []cookie.Reset
--- a/internal/process/carrier/restored_test.go
+++ b/internal/process/carrier/restored_test.go
@@ -28,15 +28,15 @@
 	return nodes
 }
 
-// lostChanges is how many changes a store loses that comes back from a copy. What is written then has revisions
+// lostChanges is how many changes a store loses that is restored from a snapshot. What is written then has revisions
 // that the balancers have seen.
 const lostChanges = 5
 
-// restoreStore lets the store come back from a copy, once all balancers know the changes that it loses.
+// restoreStore restores the store from a snapshot, once all balancers know the changes that it loses.
 func restoreStore(t *testing.T, w *world.World, nodes []*node) {
 	t.Helper()
 	g := NewWithT(t)
-	restore := w.Store.Copy()
+	restore := w.Store.Snapshot()
 	for range lostChanges {
 		w.Rewrite()
 	}
@@ -49,7 +49,7 @@
 	restore()
 }
 
-// Guards against draining upstreams that go unheard after the store came back from a copy: the drain is written
+// Guards against draining upstreams that go unheard after the store was restored from a snapshot: the drain is written
 // under a revision that was given out before.
 func TestDrainUnderAReusedRevisionIsHeard(t *testing.T) {
 	g := NewWithT(t)
@@ -62,7 +62,7 @@
 	}
 }
 
-// Guards against zones that go on getting flows after the store came back from a copy: their evacuation is written
+// Guards against zones that go on getting flows after the store was restored from a snapshot: their evacuation is written
 // under a revision that was given out before.
 func TestEvacuationUnderAReusedRevisionIsHeard(t *testing.T) {
 	g := NewWithT(t)
@@ -74,12 +74,12 @@
 }
 
 // Guards against a drain and an evacuation that are undone for as long as nobody has written them again to a store
-// that came back from a copy without them.
-func TestWhatACopyLacksStaysInForceUntilItIsWrittenAgain(t *testing.T) {
+// that was restored from a snapshot without them.
+func TestWhatASnapshotLacksStaysInForceUntilItIsWrittenAgain(t *testing.T) {
 	g := NewWithT(t)
 	w := openWorld(t, world.Options{Seed: 1, Hosts: 3, Upstreams: 12})
 	nodes := openAll(t, w)
-	restore := w.Store.Copy()
+	restore := w.Store.Snapshot()
 	g.Expect(w.DrainServer()).To(BeTrue())
 	w.Evacuate("zone-2")
 	kept := func() bool {
@@ -93,14 +93,14 @@
 	g.Eventually(kept, patience).Should(BeTrue())
 	restore()
 	for _, n := range nodes {
-		g.Eventually(func() int { return n.metric(t, "fescueshed_store_era") }, patience).Should(Equal(1))
+		g.Eventually(func() int { return n.metric(t, "fescueshed_store_epoch") }, patience).Should(Equal(1))
 		g.Eventually(n.Takes).Should(Equal(11))
 	}
 	g.Consistently(kept, time.Second).Should(BeTrue())
 	for _, n := range nodes {
 		s := n.Status().Store
-		g.Expect(s.Era).To(BeEquivalentTo(1))
-		g.Expect(s.EraSince.IsZero()).To(BeFalse())
+		g.Expect(s.Epoch).To(BeEquivalentTo(1))
+		g.Expect(s.EpochSince.IsZero()).To(BeFalse())
 		g.Expect(s.HeldOverOlder).To(Equal(1))
 		g.Expect(s.Kinds).To(HaveLen(3))
 	}
@@ -115,13 +115,13 @@
 
 // Guards against daemons that take a lagging member of the store at its word: it answers as of the time before the
 // return, and nothing that came after would be heard.
-func TestAnswersOfAFormerEraDoNotCountAsHeard(t *testing.T) {
+func TestAnswersOfAFormerEpochDoNotCountAsHeard(t *testing.T) {
 	g := NewWithT(t)
 	w := openWorld(t, world.Options{Seed: 1, Hosts: 3, Upstreams: 12})
 	nodes := openAll(t, w)
 	restoreStore(t, w, nodes)
 	for _, n := range nodes {
-		g.Eventually(func() int { return n.metric(t, "fescueshed_store_era") }, patience).Should(Equal(1))
+		g.Eventually(func() int { return n.metric(t, "fescueshed_store_epoch") }, patience).Should(Equal(1))
 	}
 	w.Store.SetTrouble(metadata.Trouble{Former: true})
 	g.Expect(w.DrainServer()).To(BeTrue())
@@ -143,12 +143,12 @@
 	}
 }
 
-// Guards against a drain that goes unheard since the daemon that reads the store for all is lost as the store comes
-// back, or since it comes back twice in a row, or since a zone that was cut off still holds the era before.
-func TestDrainIsHeardThoughTroublesMeetTheReturn(t *testing.T) {
+// Guards against a drain that goes unheard since the daemon that reads the store for all is lost as the store is
+// restored, or since it is restored twice in a row, or since a zone that was cut off still holds the epoch before.
+func TestDrainIsHeardThoughTroublesMeetTheRestore(t *testing.T) {
 	for name, meet := range map[string]func(w *world.World, reader *node){
 		"the reader is cut off":   func(_ *world.World, reader *node) { reader.host.Proxy.Set(world.LinkSilent) },
-		"the store returns twice": func(w *world.World, _ *node) { w.Store.Copy()() },
+		"the store returns twice": func(w *world.World, _ *node) { w.Store.Snapshot()() },
 		"a zone is cut off from the others and the store": func(w *world.World, _ *node) {
 			h := w.Hosts[2]
 			h.Proxy.Set(world.LinkSilent)
--- a/internal/process/status/status.go
+++ b/internal/process/status/status.go
@@ -40,11 +40,11 @@
 
 // StoreStatus is how a daemon knows the store's content.
 type StoreStatus struct {
-	// Era counts how often the store came back from a copy of itself, EraSince is when this daemon heard of
+	// Epoch counts how often the store was restored from a snapshot, EpochSince is when this daemon heard of
 	// the last time, zero if it didn't.
-	Era      objects.Era
-	EraSince time.Time
-	Kinds    []StoreKindStatus
+	Epoch      objects.Epoch
+	EpochSince time.Time
+	Kinds      []StoreKindStatus
 	// HeldOverOlder and HeldThoughMissing count upstreams that are used by what was known before that.
 	HeldOverOlder, HeldThoughMissing int
 }
@@ -52,7 +52,7 @@
 // StoreKindStatus is as of when a kind of objects is known.
 type StoreKindStatus struct {
 	Kind string
-	// AsOf is the era and the revision, Age how long ago the store confirmed that nothing is newer, in seconds.
+	// AsOf is the epoch and the revision, Age how long ago the store confirmed that nothing is newer, in seconds.
 	AsOf string
 	Age  float64
 }
--- a/internal/standin/emulator/fleet.go
+++ b/internal/standin/emulator/fleet.go
@@ -26,7 +26,7 @@
 	DarkSeeds bool
 	// StoreFrom and StoreUntil are when the store refuses all calls.
 	StoreFrom, StoreUntil time.Duration
-	// StoreRestored says that it comes back from a copy then: who watches must list, and who hears of it must be told
+	// StoreRestored says that it is restored from a snapshot then: who watches must list, and who hears of it must be told
 	// the whole list.
 	StoreRestored bool
 	// RefusedSlots makes every member refuse to tell.
@@ -41,7 +41,7 @@
 	// Ready are the times from each host's start until it could place flows, in rising order.
 	// Hosts that never could aren't among them.
 	Ready []time.Duration
-	// Relisted is how many hosts listed again after the store came back from a copy, Caught the times from then until
+	// Relisted is how many hosts listed again after the store was restored from a snapshot, Caught the times from then until
 	// each host held its list, in rising order.
 	Relisted int
 	Caught   []time.Duration
@@ -89,7 +89,7 @@
 	asks      int
 	// knownAt is as of when the store's content is known.
 	knownAt time.Duration
-	// caughtUp says that the list of the store that came back is known, catching that it is being told.
+	// caughtUp says that the list of the restored store is known, catching that it is being told.
 	caughtUp, catching bool
 }
 
@@ -286,7 +286,7 @@
 	})
 }
 
-// behind reports whether the store came back from a copy whose list the host doesn't know.
+// behind reports whether the store was restored from a snapshot whose list the host doesn't know.
 func (h *fleetHost) behind() bool {
 	return h.w.f.StoreRestored && h.ready && !h.caughtUp && h.w.now >= h.w.f.StoreUntil
 }
@@ -308,7 +308,7 @@
 	})
 }
 
-// catchUp notes that the host knows the list of the store that came back.
+// catchUp notes that the host knows the list of the restored store.
 func (h *fleetHost) catchUp() {
 	if !h.caughtUp {
 		h.caughtUp = true
--- a/internal/standin/emulator/fleet_test.go
+++ b/internal/standin/emulator/fleet_test.go
@@ -94,8 +94,8 @@
 	g.Expect(r.Readers).To(BeNumerically("<=", 5))
 }
 
-// Guards against a return of the store from a copy that all hosts answer by listing it at once.
-func TestFewListAStoreThatCameBackFromACopy(t *testing.T) {
+// Guards against a restore of the store that all hosts answer by listing it at once.
+func TestFewHostsListARestoredStore(t *testing.T) {
 	for name, f := range map[string]emulator.Fleet{
 		"8 hosts":   {Zones: 2, Large: 1, Small: 3, Upstreams: 50},
 		"84 hosts":  {Zones: 3, Large: 2, Small: 26, Upstreams: 150},
@@ -109,7 +109,7 @@
 			f.StoreRestored = true
 			r := emulator.PlayFleet(&f, 1)
 			hosts := f.Zones * (f.Large + f.Small)
-			t.Logf("%d calls, %d without the copy, %d listed, the last host caught up after %v",
+			t.Logf("%d calls, %d without the restore, %d listed, the last host caught up after %v",
 				r.Calls, away.Calls, r.Relisted, r.Caught[len(r.Caught)-1])
 			g.Expect(r.Caught).To(HaveLen(hosts))
 			g.Expect(r.Caught[hosts-1]).To(BeNumerically("<", 1500*time.Millisecond), "half of the bound for a drain")
--- a/internal/standin/metadata/store.go
+++ b/internal/standin/metadata/store.go
@@ -29,7 +29,7 @@
 	SlowEvents time.Duration
 	// Deaf makes watches hear nothing.
 	Deaf bool
-	// Former answers lists and watches with what the store held before it came back from a copy, as a member of it
+	// Former answers lists and watches with what the store held before it was restored from a snapshot, as a member of it
 	// does that lags behind the others.
 	Former bool
 	// ServeOneOf refuses all but one of so many calls for want of a rate, if it is more
@@ -45,8 +45,8 @@
 	objects  map[string]map[string]object
 	events   map[string][]storedEvent
 	revision uint64
-	// era rises each time the store comes back from a copy.
-	era uint64
+	// epoch rises each time the store is restored from a snapshot.
+	epoch uint64
 	// forgotten is the revision up to which the history is gone.
 	forgotten uint64
 	changed   chan struct{}
@@ -60,7 +60,7 @@
 type copied struct {
 	objects  map[string]map[string]object
 	revision uint64
-	era      uint64
+	epoch    uint64
 }
 
 // object is a stored object as it goes out. It is bytes, since other writers may have put
@@ -105,16 +105,16 @@
 
 // copy returns the present content. s.mu is held.
 func (s *Store) copy() *copied {
-	c := &copied{objects: make(map[string]map[string]object), revision: s.revision, era: s.era}
+	c := &copied{objects: make(map[string]map[string]object), revision: s.revision, epoch: s.epoch}
 	for kind, objects := range s.objects {
 		c.objects[kind] = maps.Clone(objects)
 	}
 	return c
 }
 
-// Copy makes a copy and returns what lets the store come back from it: all that was acknowledged since is gone,
+// Snapshot returns what restores the store to its present content: all that was acknowledged since is gone,
 // its revisions are given out again, and a watch from one that isn't there is answered that the history is gone.
-func (s *Store) Copy() (restore func()) {
+func (s *Store) Snapshot() (restore func()) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	c := s.copy()
@@ -125,7 +125,7 @@
 			s.events[kind] = slices.DeleteFunc(events, func(e storedEvent) bool { return e.revision > c.revision })
 		}
 		s.former = s.copy()
-		s.era++
+		s.epoch++
 		s.revision, s.objects = c.revision, make(map[string]map[string]object)
 		for kind, objects := range c.objects {
 			s.objects[kind] = maps.Clone(objects)
@@ -135,11 +135,11 @@
 	}
 }
 
-// Era returns how often the store came back from a copy.
-func (s *Store) Era() uint64 {
+// Epoch returns how often the store was restored from a snapshot.
+func (s *Store) Epoch() uint64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.era
+	return s.epoch
 }
 
 // Revision returns the revision of the last change.
@@ -240,7 +240,7 @@
 func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.count()
 	t := s.troubleFor(r)
-	tellEra(w, s.Era())
+	tellEpoch(w, s.Epoch())
 	switch {
 	case t.Reset:
 		panic(http.ErrAbortHandler)
@@ -338,7 +338,7 @@
 
 func (s *Store) list(w http.ResponseWriter, kind, after string, stale bool) {
 	s.mu.Lock()
-	from := &copied{objects: s.objects, revision: s.revision, era: s.era}
+	from := &copied{objects: s.objects, revision: s.revision, epoch: s.epoch}
 	switch {
 	case s.trouble.Former && s.former != nil:
 		from = s.former
@@ -357,7 +357,7 @@
 		p.Items = append(p.Items, from.objects[kind][name].body)
 	}
 	s.mu.Unlock()
-	tellEra(w, from.era)
+	tellEpoch(w, from.epoch)
 	answer(w, &p)
 }
 
@@ -393,15 +393,15 @@
 }
 
 // since returns the events after a revision, whether the history is gone, and what
-// is closed at the next change. It tells the era that they are of.
+// is closed at the next change. It tells the epoch that they are of.
 func (s *Store) since(w http.ResponseWriter, kind string, from uint64) (*wire.Page, bool, chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.trouble.Former && s.former != nil {
-		tellEra(w, s.former.era)
+		tellEpoch(w, s.former.epoch)
 		return &wire.Page{AsOf: s.former.revision}, false, s.changed
 	}
-	tellEra(w, s.era)
+	tellEpoch(w, s.epoch)
 	if from < s.forgotten || from > s.revision {
 		return nil, true, nil
 	}
@@ -417,9 +417,9 @@
 	return p, false, s.changed
 }
 
-// tellEra puts the era of what an answer says into its head.
-func tellEra(w http.ResponseWriter, era uint64) {
-	w.Header().Set(wire.HeaderEra, strconv.FormatUint(era, 10))
+// tellEpoch puts the epoch of what an answer says into its head.
+func tellEpoch(w http.ResponseWriter, epoch uint64) {
+	w.Header().Set(wire.HeaderEra, strconv.FormatUint(epoch, 10))
 }
 
 func answer[T any](w http.ResponseWriter, p *T) {
--- a/internal/standin/world/restore.go
+++ b/internal/standin/world/restore.go
@@ -7,10 +7,10 @@
 	"github.com/fescueshed/fescueshed/platform/wire"
 )
 
-// rewriteWithin is how long operators and upstreams take to write again what a copy of the store lacks: a heartbeat.
+// rewriteWithin is how long operators and upstreams take to write again what a snapshot lacks: a heartbeat.
 const rewriteWithin = 1200 * time.Millisecond
 
-// RestoreStore lets the store be away for a time and come back from a copy, as metadata.Store.Copy returned it.
+// RestoreStore takes the store away for a time and restores it from a snapshot, as metadata.Store.Snapshot returned it.
 // Operators and upstreams then write again what they wrote since.
 func (w *World) RestoreStore(restore func(), away time.Duration) {
 	w.Store.SetTrouble(metadata.Trouble{Reset: true})
--- a/internal/version/evacuation/inforce.go
+++ b/internal/version/evacuation/inforce.go
@@ -9,12 +9,12 @@
 	"github.com/fescueshed/fescueshed/internal/version/objects"
 )
 
-// InForce are the zones that get no new flow: those that the store names, and those that it lacks since it came
-// back from a copy, for objects.RestoreGrace at most. The zero value is none. It isn't safe for concurrent use.
+// InForce are the zones that get no new flow: those that the store names, and those that it lacks since it was
+// restored from a snapshot, for objects.RestoreGrace at most. The zero value is none. It isn't safe for concurrent use.
 type InForce struct {
 	// Stored are the store's.
 	Stored Zones
-	// held are those that the copy lacks, with the time until which they stay.
+	// held are those that the snapshot lacks, with the time until which they stay.
 	held map[bundle.Zone]time.Time
 }
 
@@ -24,7 +24,7 @@
 		return false
 	}
 	before := f.Zones()
-	if f.Stored.AsOf != 0 && z.AsOf.Era() != f.Stored.AsOf.Era() {
+	if f.Stored.AsOf != 0 && z.AsOf.Epoch() != f.Stored.AsOf.Epoch() {
 		f.held = make(map[bundle.Zone]time.Time)
 		for _, zone := range before {
 			f.held[zone] = now.Add(objects.RestoreGrace)
@@ -37,7 +37,7 @@
 	return true
 }
 
-// HeldBack returns the zones that the copy lacks, in order, and for how long they stay, for a daemon that started since
+// HeldBack returns the zones that the snapshot lacks, in order, and for how long they stay, for a daemon that started since
 // and can't know it.
 func (f *InForce) HeldBack(now time.Time) ([]bundle.Zone, time.Duration) {
 	var left time.Duration
--- a/internal/version/objects/feed.go
+++ b/internal/version/objects/feed.go
@@ -10,7 +10,7 @@
 // Object is one stored object of a kind whose content is decoded to T.
 type Object[T any] struct {
 	Name string
-	// Revision is the position of the object's last change, Created that of its creation, both in the era
+	// Revision is the position of the object's last change, Created that of its creation, both in the epoch
 	// of the answer that holds the object. Either is zero if it can't be read.
 	Revision, Created Position
 	Value             T
@@ -69,7 +69,7 @@
 // store's content.
 var (
 	// ErrHistoryGone means that the store doesn't have the history that was watched from: it forgot
-	// that, or came back from a copy. The kind is to be listed again.
+	// that, or was restored from a snapshot. The kind is to be listed again.
 	ErrHistoryGone = eris.New("objects: the store no longer has this history")
 	// ErrConflict means that the object isn't as the condition of a write said.
 	ErrConflict = eris.New("objects: the object was changed by another")
@@ -86,6 +86,6 @@
 	// List returns a page of all objects.
 	List(ctx context.Context, o ListOptions) (Page[T], error)
 	// Watch returns what changed after a position as soon as anything did, or
-	// nothing after the wait, which may be zero. An answer of another era is ErrHistoryGone.
+	// nothing after the wait, which may be zero. An answer of another epoch is ErrHistoryGone.
 	Watch(ctx context.Context, after Position, wait time.Duration) (Changes[T], error)
 }
--- a/internal/version/objects/listing.go
+++ b/internal/version/objects/listing.go
@@ -37,10 +37,10 @@
 // since, as some page may be old.
 func (l *Listing[T]) Lacks() bool { return l.lacks }
 
-// Add takes in the next page. It returns ErrHistoryGone if the page is of another era than those before it:
+// Add takes in the next page. It returns ErrHistoryGone if the page is of another epoch than those before it:
 // together they are a list that the store never had.
 func (l *Listing[T]) Add(p Page[T]) error {
-	if l.begun && p.AsOf.Era() != l.asOf.Era() {
+	if l.begun && p.AsOf.Epoch() != l.asOf.Epoch() {
 		return eris.Wrapf(ErrHistoryGone, "a page as of %v in a list as of %v", p.AsOf, l.asOf)
 	}
 	// Pages may be of different revisions. What changed after the oldest is seen again
--- a/internal/version/objects/position_test.go
+++ b/internal/version/objects/position_test.go
@@ -9,16 +9,16 @@
 	"github.com/fescueshed/fescueshed/internal/version/objects"
 )
 
-func at(era objects.Era, revision uint64) objects.Position {
-	p, err := objects.NewPosition(era, revision)
+func at(epoch objects.Epoch, revision uint64) objects.Position {
+	p, err := objects.NewPosition(epoch, revision)
 	if err != nil {
 		panic(err) // Tests name positions that there are.
 	}
 	return p
 }
 
-// Guards against a word of an earlier era that goes over a later one since its revision is higher.
-func TestPositionsAreOrderedByTheirEraFirst(t *testing.T) {
+// Guards against a word of an earlier epoch that goes over a later one since its revision is higher.
+func TestPositionsAreOrderedByTheirEpochFirst(t *testing.T) {
 	g := NewWithT(t)
 	for _, p := range []struct{ before, after objects.Position }{
 		{0, at(0, 1)}, {at(0, 26), at(0, 27)}, {at(0, 27), at(1, 0)}, {at(1, 20), at(1, 21)}, {at(1, 1<<40-1), at(2, 1)},
@@ -26,33 +26,33 @@
 		g.Expect(p.before < p.after).To(BeTrue(), "%v, %v", p.before, p.after)
 		g.Expect(p.after.String()).NotTo(Equal(p.before.String()))
 	}
-	g.Expect(at(7, 19).Era()).To(BeEquivalentTo(7))
+	g.Expect(at(7, 19).Epoch()).To(BeEquivalentTo(7))
 	g.Expect(at(7, 19).Revision()).To(BeEquivalentTo(19))
 }
 
-// Guards against a number that spills over into the era, and makes a store seem to have come back from a copy.
+// Guards against a number that spills over into the epoch, and makes a store seem to have be restored from a snapshot.
 func TestPositionsOutOfRangeAreRefused(t *testing.T) {
 	for name, p := range map[string]struct {
-		era      objects.Era
+		epoch    objects.Epoch
 		revision uint64
 	}{
-		"revision": {0, 1 << 40}, "largest revision": {0, math.MaxUint64}, "era": {1 << 24, 1},
+		"revision": {0, 1 << 40}, "largest revision": {0, math.MaxUint64}, "epoch": {1 << 24, 1},
 	} {
 		t.Run(name, func(t *testing.T) {
-			_, err := objects.NewPosition(p.era, p.revision)
+			_, err := objects.NewPosition(p.epoch, p.revision)
 			NewWithT(t).Expect(err).To(MatchError(objects.ErrPosition))
 		})
 	}
 }
 
-// Guards against a list of pages from before and after a return of the store, which the store never had.
-func TestListingRefusesAPageOfAnotherEra(t *testing.T) {
-	for name, eras := range map[string][2]objects.Era{"the store came back": {0, 1}, "an old copy answers": {1, 0}} {
+// Guards against a list of pages from before and after a restore of the store, which the store never had.
+func TestListingRefusesAPageOfAnotherEpoch(t *testing.T) {
+	for name, epochs := range map[string][2]objects.Epoch{"the store was restored": {0, 1}, "a lagging replica answers": {1, 0}} {
 		t.Run(name, func(t *testing.T) {
 			g := NewWithT(t)
 			l := objects.NewListing[int](false)
-			g.Expect(l.Add(objects.Page[int]{AsOf: at(eras[0], 20), Next: "b"})).To(Succeed())
-			g.Expect(l.Add(objects.Page[int]{AsOf: at(eras[1], 20)})).To(MatchError(objects.ErrHistoryGone))
+			g.Expect(l.Add(objects.Page[int]{AsOf: at(epochs[0], 20), Next: "b"})).To(Succeed())
+			g.Expect(l.Add(objects.Page[int]{AsOf: at(epochs[1], 20)})).To(MatchError(objects.ErrHistoryGone))
 			g.Expect(l.Done()).To(BeFalse())
 		})
 	}
--- a/internal/version/registry/catalog.go
+++ b/internal/version/registry/catalog.go
@@ -27,7 +27,7 @@
 	forgotten objects.Position
 	// changed are the upstreams that came, changed or went since TakeChanges.
 	changed map[bundle.UpstreamID]struct{}
-	// older holds what the store, which came back from a copy, says of upstreams of which something later is
+	// older holds what the store, which was restored from a snapshot, says of upstreams of which something later is
 	// known. That stays in force until restoredUntil, or until the store says something else.
 	older         map[bundle.UpstreamID]Registration
 	restoredUntil time.Time
@@ -98,7 +98,7 @@
 	if asOf < c.AsOf {
 		return false
 	}
-	if c.AsOf != 0 && asOf.Era() != c.AsOf.Era() {
+	if c.AsOf != 0 && asOf.Epoch() != c.AsOf.Epoch() {
 		return c.restore(list, asOf, now)
 	}
 	return c.advance(c.leadingTo(list), asOf, now)
@@ -121,9 +121,9 @@
 }
 
 // Apply takes in changes that lead from the present position to asOf. It reports
-// whether anything changed. Those of another era lead from a list that isn't the present one.
+// whether anything changed. Those of another epoch lead from a list that isn't the present one.
 func (c *Catalog) Apply(changes []Change, asOf objects.Position, now time.Time) bool {
-	if asOf < c.AsOf || c.AsOf != 0 && asOf.Era() != c.AsOf.Era() {
+	if asOf < c.AsOf || c.AsOf != 0 && asOf.Epoch() != c.AsOf.Epoch() {
 		return false
 	}
 	return c.advance(changes, asOf, now)
@@ -149,7 +149,7 @@
 // another digest than its sender's, and the whole list be asked for: 300 hosts with 3,000
 // upstreams sent 300 KB/s each.
 func (c *Catalog) Hear(changes []Change, asOf objects.Position, digest uint64, now time.Time) bool {
-	if asOf < c.AsOf || c.AsOf == 0 || asOf.Era() != c.AsOf.Era() {
+	if asOf < c.AsOf || c.AsOf == 0 || asOf.Epoch() != c.AsOf.Epoch() {
 		return false
 	}
 	changes = c.withoutFormer(changes)
@@ -298,13 +298,13 @@
 }
 
 // Held returns how many upstreams are used otherwise than the store says: by what was known before it came back from a
-// copy, in place of an older entry, or though it lacks them.
+// snapshot, in place of an older entry, or though it lacks them.
 func (c *Catalog) Held() (older, missing int) { return len(c.older), len(c.vanished) }
 
 // Expire removes vanished entries whose time is over, and believes the store of those that it had an older
 // content of. It reports whether there were any.
 func (c *Catalog) Expire(now time.Time) bool {
-	changed := c.believe(now)
+	changed := c.release(now)
 	for id, k := range c.vanished {
 		if now.After(k.until) {
 			delete(c.vanished, id)
--- a/internal/version/registry/history_test.go
+++ b/internal/version/registry/history_test.go
@@ -19,14 +19,14 @@
 	historyCatalogs  = 3
 )
 
-// historyStore is a store that comes back from copies, with all that it ever said.
+// historyStore is a store that is restored from snapshots, with all that it ever said.
 type historyStore struct {
-	era      objects.Era
+	epoch    objects.Epoch
 	revision uint64
 	entries  map[int]registry.Registration
-	// events are those of the present era and, as far as the copy has them, of those before.
-	events []historyEvent
-	copies []historyStore
+	// events are those of the present epoch and, as far as the snapshot has them, of those before.
+	events    []historyEvent
+	snapshots []historyStore
 }
 
 type historyEvent struct {
@@ -34,7 +34,7 @@
 	registry.Change
 }
 
-func (s *historyStore) asOf() objects.Position { return at(s.era, s.revision) }
+func (s *historyStore) asOf() objects.Position { return at(s.epoch, s.revision) }
 
 func (s *historyStore) write(r registry.Registration) {
 	s.revision++
@@ -43,14 +43,14 @@
 	s.events = append(s.events, historyEvent{revision: s.revision, Change: registry.Change{Registration: r}})
 }
 
-func (s *historyStore) copy() {
-	s.copies = append(s.copies, historyStore{
+func (s *historyStore) snapshot() {
+	s.snapshots = append(s.snapshots, historyStore{
 		revision: s.revision, entries: maps.Clone(s.entries), events: slices.Clone(s.events),
 	})
 }
 
 func (s *historyStore) restore(c *historyStore) {
-	s.era++
+	s.epoch++
 	s.revision, s.entries, s.events = c.revision, maps.Clone(c.entries), slices.Clone(c.events)
 }
 
@@ -59,7 +59,7 @@
 	out := make([]registry.Registration, 0, len(s.entries))
 	for _, id := range slices.Sorted(maps.Keys(s.entries)) {
 		r := s.entries[id]
-		r.Revision = at(s.era, r.Revision.Revision())
+		r.Revision = at(s.epoch, r.Revision.Revision())
 		out = append(out, r)
 	}
 	return out
@@ -67,14 +67,14 @@
 
 // since returns what a watch tells, false if it has no such history.
 func (s *historyStore) since(after objects.Position) ([]registry.Change, bool) {
-	if after.Era() != s.era || after.Revision() > s.revision {
+	if after.Epoch() != s.epoch || after.Revision() > s.revision {
 		return nil, false
 	}
 	var out []registry.Change
 	for _, e := range s.events {
 		if e.revision > after.Revision() {
 			ch := e.Change
-			ch.Revision = at(s.era, e.revision)
+			ch.Revision = at(s.epoch, e.revision)
 			out = append(out, ch)
 		}
 	}
@@ -98,10 +98,10 @@
 	// truth is how each upstream is, which it has written unless the store lost it.
 	truth [historyUpstreams]registry.Registration
 	late  []told
-	// drained are the upstreams whose drain each catalog has routed by, eras and crossed the era that it holds and
+	// drained are the upstreams whose drain each catalog has routed by, epochs and crossed the epoch that it holds and
 	// when it took that in.
 	drained [historyCatalogs]map[int]bool
-	eras    [historyCatalogs]objects.Era
+	epochs  [historyCatalogs]objects.Epoch
 	crossed [historyCatalogs]time.Time
 }
 
@@ -115,7 +115,7 @@
 		w.truth[i] = beat(i+1, 0, 1, false)
 		w.store.write(w.truth[i])
 	}
-	w.store.copy()
+	w.store.snapshot()
 	return w
 }
 
@@ -133,9 +133,9 @@
 		w.truth[u].Sequence++
 		w.store.write(w.truth[u])
 	case 2:
-		w.store.copy()
+		w.store.snapshot()
 	case 3:
-		w.store.restore(&w.store.copies[w.any(len(w.store.copies), "copy")])
+		w.store.restore(&w.store.snapshots[w.any(len(w.store.snapshots), "snapshot")])
 	case 4:
 		w.deliver(c, told{list: w.store.list(), listed: true, asOf: w.store.asOf()})
 	case 5:
@@ -182,11 +182,11 @@
 }
 
 // check judges what must hold at every moment: a drain that a catalog has routed by isn't undone, since upstreams
-// never take it back here, unless the store, come back from a copy, told for the whole grace that it isn't so.
+// never take it back here, unless the store, restored from a snapshot, told for the whole grace that it isn't so.
 func (w *historyWorld) check() {
 	for i, c := range w.catalogs {
-		if e := c.AsOf.Era(); e != w.eras[i] {
-			w.eras[i], w.crossed[i] = e, w.now
+		if e := c.AsOf.Epoch(); e != w.epochs[i] {
+			w.epochs[i], w.crossed[i] = e, w.now
 		}
 		for _, r := range c.InUse() {
 			id := int(r.ID)
@@ -194,7 +194,7 @@
 			case r.Draining:
 				w.drained[i][id] = true
 			case !w.drained[i][id]:
-			case w.eras[i] > 0 && w.now.Sub(w.crossed[i]) >= objects.RestoreGrace:
+			case w.epochs[i] > 0 && w.now.Sub(w.crossed[i]) >= objects.RestoreGrace:
 				delete(w.drained[i], id)
 			default:
 				w.t.Fatalf("catalog %d takes upstream %d for ready as of %v, after it routed by its drain", i, id, c.AsOf)
@@ -234,9 +234,9 @@
 	}
 }
 
-// Guards against any order of writes, copies, returns, answers and news in which a catalog goes back, undoes a drain, or
+// Guards against any order of writes, snapshots, restores, answers and news in which a catalog goes back, undoes a drain, or
 // agrees with another one on a position and not on the content.
-func TestCatalogsOverReturnsOfTheStore(t *testing.T) {
+func TestCatalogsOverRestoresOfTheStore(t *testing.T) {
 	seeds.Fix()
 	rapid.Check(t, func(t *rapid.T) {
 		w := newHistoryWorld(t)
--- a/internal/version/registry/registration.go
+++ b/internal/version/registry/registration.go
@@ -135,7 +135,7 @@
 	return r.Unusable && r.Known() && !old.Known()
 }
 
-// precedes reports whether an entry of a copy of the store is of an earlier time than what is known of the same
+// precedes reports whether an entry of a snapshot is of an earlier time than what is known of the same
 // upstream: of a former incarnation, or of an earlier heartbeat.
 func (r *Registration) precedes(known *Registration) bool {
 	switch {
--- a/internal/version/registry/restored.go
+++ b/internal/version/registry/restored.go
@@ -9,9 +9,9 @@
 	"github.com/fescueshed/fescueshed/internal/version/objects"
 )
 
-// restore takes in the list of a store that came back from a copy. What is later known of an upstream than the
-// copy says stays in force until the upstream writes again, for objects.RestoreGrace at most, and an upstream that
-// the copy lacks is kept as long. It reports whether anything changed.
+// restore takes in the list of a store that was restored from a snapshot. What is later known of an upstream than the
+// snapshot says stays in force until the upstream writes again, for objects.RestoreGrace at most, and an upstream that
+// the snapshot lacks is kept as long. It reports whether anything changed.
 func (c *Catalog) restore(list []Registration, asOf objects.Position, now time.Time) bool {
 	c.restoredUntil = now.Add(objects.RestoreGrace)
 	if c.restoredUntil.After(c.doubtUntil) {
@@ -20,7 +20,7 @@
 	list, older := c.withLater(list)
 	changed := c.advance(c.leadingTo(list), asOf, now)
 	c.older = older
-	// Whoever is behind by changes of an earlier era needs the whole list.
+	// Whoever is behind by changes of an earlier epoch needs the whole list.
 	c.log, c.forgotten = nil, asOf
 	return changed
 }
@@ -42,8 +42,8 @@
 	return out, older
 }
 
-// laterThan returns what is known of an upstream if that is later than an entry of a copy. An upstream that had left
-// is back with the copy, and still takes no new flow.
+// laterThan returns what is known of an upstream if that is later than an entry of a snapshot. An upstream that had left
+// is back with the snapshot, and still takes no new flow.
 func (c *Catalog) laterThan(r *Registration, left map[bundle.UpstreamID]Registration) (Registration, bool) {
 	if old, ok := left[r.ID]; ok {
 		return old, r.Restarted(&old) != RestartCertain && r.Sequence <= old.Sequence
@@ -69,8 +69,8 @@
 	return out
 }
 
-// believe puts what the store says in force once the time is over for which something later was.
-func (c *Catalog) believe(now time.Time) bool {
+// release puts what the store says in force once the time is over for which something later was.
+func (c *Catalog) release(now time.Time) bool {
 	if len(c.older) == 0 || now.Before(c.restoredUntil) {
 		return false
 	}
@@ -85,7 +85,7 @@
 	return true
 }
 
-// HeldBack returns the upstreams that are used by what was known of them before the store came back from a copy, and
+// HeldBack returns the upstreams that are used by what was known of them before the store was restored from a snapshot, and
 // for how long, for a daemon that started since and can't know it.
 func (c *Catalog) HeldBack(now time.Time) ([]Registration, time.Duration) {
 	left := c.restoredUntil.Sub(now)
--- a/internal/version/registry/restored_test.go
+++ b/internal/version/registry/restored_test.go
@@ -11,9 +11,9 @@
 	"github.com/fescueshed/fescueshed/internal/version/registry"
 )
 
-// at returns the position of a revision in an era.
-func at(era objects.Era, revision uint64) objects.Position {
-	p, err := objects.NewPosition(era, revision)
+// at returns the position of a revision in an epoch.
+func at(epoch objects.Epoch, revision uint64) objects.Position {
+	p, err := objects.NewPosition(epoch, revision)
 	if err != nil {
 		panic(err) // Tests name positions that there are.
 	}
@@ -37,8 +37,8 @@
 	return registry.Registration{}, false
 }
 
-// Guards against a list that is kept though the store came back from a copy under lower revisions.
-func TestCatalogTakesTheListOfALaterEra(t *testing.T) {
+// Guards against a list that is kept though the store was restored from a snapshot under lower revisions.
+func TestCatalogTakesTheListOfALaterEpoch(t *testing.T) {
 	g := NewWithT(t)
 	c, now := registry.NewCatalog(), time.Unix(0, 0)
 	c.Replace([]registry.Registration{beat(1, at(0, 27), 5, false)}, at(0, 27), now)
@@ -47,12 +47,12 @@
 	r, _ := inUse(c, 1)
 	g.Expect(r.Draining).To(BeTrue())
 	late := []registry.Registration{beat(1, at(0, 99), 9, false)}
-	g.Expect(c.Replace(late, at(0, 99), now)).To(BeFalse(), "an answer of the era before")
+	g.Expect(c.Replace(late, at(0, 99), now)).To(BeFalse(), "an answer of the epoch before")
 	g.Expect(c.AsOf).To(Equal(at(1, 21)))
 }
 
-// Guards against changes that are put onto a list of another era, from which they don't lead on.
-func TestCatalogRefusesChangesOfAnotherEra(t *testing.T) {
+// Guards against changes that are put onto a list of another epoch, from which they don't lead on.
+func TestCatalogRefusesChangesOfAnotherEpoch(t *testing.T) {
 	g := NewWithT(t)
 	c, now := registry.NewCatalog(), time.Unix(0, 0)
 	c.Replace([]registry.Registration{beat(1, at(0, 20), 5, false)}, at(0, 27), now)
@@ -67,40 +67,40 @@
 
 	c.Replace([]registry.Registration{beat(1, at(1, 20), 5, false)}, at(1, 24), now)
 	_, ok := c.Since(at(0, 27))
-	g.Expect(ok).To(BeFalse(), "whoever is of the era before needs the whole list")
+	g.Expect(ok).To(BeFalse(), "whoever is of the epoch before needs the whole list")
 	_, ok = c.Since(at(1, 24))
 	g.Expect(ok).To(BeTrue())
 }
 
-// Guards against upstreams that get flows again since the copy, from which the store came back, is older than their
+// Guards against upstreams that get flows again since the snapshot is older than their
 // drain, and against flows that are reset since it is older than their upstream.
-func TestCatalogHoldsWhatACopyLacks(t *testing.T) {
-	const known, copied = 27, 20
+func TestCatalogHoldsWhatASnapshotLacks(t *testing.T) {
+	const known, restored = 27, 20
 	ready, drains := beat(1, at(0, 19), 5, false), beat(1, at(0, 26), 7, true)
 	born := func(r registry.Registration, at registry.UnixMilli) registry.Registration {
 		r.Born = at
 		return r
 	}
 	for name, tc := range map[string]struct {
-		// before are the lists before, in their order, copied the store's after it came back, later the changes
+		// before are the lists before, in their order, restored the store's after that, later the changes
 		// that it tells then.
-		before [][]registry.Registration
-		copied []registry.Registration
-		later  []registry.Change
+		before   [][]registry.Registration
+		restored []registry.Registration
+		later    []registry.Change
 		// held and believed are how the upstream is used within the grace and after it.
 		held, believed use
 	}{
 		"a drain that is lost": {
-			before: [][]registry.Registration{{drains}}, copied: []registry.Registration{beat(1, at(1, 19), 5, false)},
+			before: [][]registry.Registration{{drains}}, restored: []registry.Registration{beat(1, at(1, 19), 5, false)},
 			held: useDraining, believed: useReady,
 		},
 		"a drain that is lost and written again": {
-			before: [][]registry.Registration{{drains}}, copied: []registry.Registration{beat(1, at(1, 19), 5, false)},
+			before: [][]registry.Registration{{drains}}, restored: []registry.Registration{beat(1, at(1, 19), 5, false)},
 			later: []registry.Change{{Registration: beat(1, at(1, 21), 8, true)}},
 			held:  useDraining, believed: useDraining,
 		},
-		"a drain that was copied": {
-			before: [][]registry.Registration{{drains}}, copied: []registry.Registration{beat(1, at(1, 20), 7, true)},
+		"a drain that is in the snapshot": {
+			before: [][]registry.Registration{{drains}}, restored: []registry.Registration{beat(1, at(1, 20), 7, true)},
 			held: useDraining, believed: useDraining,
 		},
 		"an upstream that is lost": {
@@ -114,20 +114,20 @@
 			held: useReady, believed: useReady,
 		},
 		"an upstream that had left": {
-			before: [][]registry.Registration{{ready}, {drains}, {}}, copied: []registry.Registration{beat(1, at(1, 19), 5, false)},
+			before: [][]registry.Registration{{ready}, {drains}, {}}, restored: []registry.Registration{beat(1, at(1, 19), 5, false)},
 			held: useDraining, believed: useReady,
 		},
 		"an upstream that had left and is gone again": {
-			before: [][]registry.Registration{{ready}, {drains}, {}}, copied: []registry.Registration{beat(1, at(1, 19), 5, false)},
+			before: [][]registry.Registration{{ready}, {drains}, {}}, restored: []registry.Registration{beat(1, at(1, 19), 5, false)},
 			later: []registry.Change{{Registration: beat(1, at(1, 21), 5, false), Gone: true}},
 			held:  useDraining, believed: useNone,
 		},
 		"an upstream that started again": {
-			before: [][]registry.Registration{{born(drains, 3)}}, copied: []registry.Registration{born(beat(1, at(1, 21), 1, false), 9)},
+			before: [][]registry.Registration{{born(drains, 3)}}, restored: []registry.Registration{born(beat(1, at(1, 21), 1, false), 9)},
 			held: useReady, believed: useReady,
 		},
 		"a former incarnation": {
-			before: [][]registry.Registration{{born(drains, 9)}}, copied: []registry.Registration{born(beat(1, at(1, 19), 70, false), 3)},
+			before: [][]registry.Registration{{born(drains, 9)}}, restored: []registry.Registration{born(beat(1, at(1, 19), 70, false), 3)},
 			held: useDraining, believed: useReady,
 		},
 	} {
@@ -137,13 +137,13 @@
 			for i, list := range tc.before {
 				c.Replace(list, at(0, known+uint64(i)), now)
 			}
-			c.Replace(tc.copied, at(1, copied), now)
+			c.Replace(tc.restored, at(1, restored), now)
 			reader := registry.NewCatalog()
-			reader.Replace(tc.copied, at(1, copied), now)
-			g.Expect(c.Digest()).To(Equal(reader.Digest()), "it agrees with one that read the copy only")
+			reader.Replace(tc.restored, at(1, restored), now)
+			g.Expect(c.Digest()).To(Equal(reader.Digest()), "it agrees with one that read the snapshot only")
 			g.Expect(c.List()).To(Equal(reader.List()))
 			g.Expect(usedAs(c)).To(Equal(tc.held))
-			c.Apply(tc.later, at(1, copied+5), now)
+			c.Apply(tc.later, at(1, restored+5), now)
 			g.Expect(usedAs(c)).To(Equal(tc.held))
 			c.Expire(now.Add(objects.RestoreGrace + time.Millisecond))
 			g.Expect(usedAs(c)).To(Equal(tc.believed))
@@ -171,14 +171,14 @@
 	return useReady
 }
 
-// Guards against a drain that is forgotten since the store comes back a second time while it is held.
-func TestCatalogHoldsADrainOverTwoReturns(t *testing.T) {
+// Guards against a drain that is forgotten since the store is restored a second time while it is held.
+func TestCatalogHoldsADrainOverTwoRestores(t *testing.T) {
 	g := NewWithT(t)
 	c, now := registry.NewCatalog(), time.Unix(0, 0)
 	c.Replace([]registry.Registration{beat(1, at(0, 26), 7, true)}, at(0, 27), now)
-	for era := objects.Era(1); era <= 2; era++ {
+	for epoch := objects.Epoch(1); epoch <= 2; epoch++ {
 		now = now.Add(time.Second)
-		c.Replace([]registry.Registration{beat(1, at(era, 19), 5, false)}, at(era, 20), now)
+		c.Replace([]registry.Registration{beat(1, at(epoch, 19), 5, false)}, at(epoch, 20), now)
 		g.Expect(usedAs(c)).To(Equal(useDraining))
 	}
 	c.Expire(now.Add(objects.RestoreGrace - time.Millisecond))
@@ -187,17 +187,17 @@
 	g.Expect(usedAs(c)).To(Equal(useReady))
 }
 
-// Guards against flows that a daemon which starts after a return of the store places at an upstream whose drain the copy
-// lacks: the others know it.
+// Guards against flows that a daemon which starts after a restore of the store places at an upstream whose drain
+// the snapshot lacks: the others know it.
 func TestCatalogTakesOverWhatAnotherHoldsBack(t *testing.T) {
 	g := NewWithT(t)
 	now := time.Unix(0, 0)
 	old, newcomer := registry.NewCatalog(), registry.NewCatalog()
 	gone := beat(2, at(0, 25), 4, false)
 	old.Replace([]registry.Registration{beat(1, at(0, 26), 7, true), gone}, at(0, 27), now)
-	copied := []registry.Registration{beat(1, at(1, 19), 5, false)}
-	old.Replace(copied, at(1, 20), now)
-	newcomer.Replace(copied, at(1, 20), now)
+	snapshot := []registry.Registration{beat(1, at(1, 19), 5, false)}
+	old.Replace(snapshot, at(1, 20), now)
+	newcomer.Replace(snapshot, at(1, 20), now)
 	g.Expect(usedAs(newcomer)).To(Equal(useReady))
 
 	now = now.Add(time.Second)
@@ -207,7 +207,7 @@
 	g.Expect(newcomer.HoldBack(held, left, now)).To(BeFalse(), "it knows")
 	g.Expect(usedAs(newcomer)).To(Equal(useDraining))
 	g.Expect(newcomer.InUse()).To(HaveLen(2))
-	g.Expect(newcomer.List()).To(Equal(copied), "what it tells is the store's word")
+	g.Expect(newcomer.List()).To(Equal(snapshot), "what it tells is the store's word")
 	g.Expect(newcomer.Digest()).To(Equal(old.Digest()))
 
 	newcomer.Expire(now.Add(left + time.Millisecond))
