registry: an upstream that is missing or leaves after a restore is let go as soon as after an outage

Callers would see: new flows at an upstream for up to 5 s after a restored store said that it is gone, over the bound of 3 s for a drain, where the upstream still lives, cut off from the store. Found by reading the hold against the rule.

Daemons that start aren't told of missing ones any more: they learn them as after an outage.

--- a/internal/connection/peer/news.go
+++ b/internal/connection/peer/news.go
@@ -208,8 +208,8 @@
 // HeldBack is what a daemon goes by in place of what the store says, which was restored from a snapshot.
 type HeldBack struct {
 	_ struct{} `cbor:",toarray"`
-	// Upstreams are of a later content than their entries, or have none, Zones are evacuated though the store lacks
-	// them. Each stays for a time.
+	// Upstreams are of a later content than their entries, Zones are evacuated though the store lacks them. Each
+	// stays for a time.
 	Upstreams    []registry.Registration
 	UpstreamsFor time.Duration
 	Zones        []bundle.Zone
--- a/internal/version/objects/position.go
+++ b/internal/version/objects/position.go
@@ -8,23 +8,23 @@
 )
 
 // Epoch counts how often the store was restored from a snapshot. What it acknowledged after the snapshot was
-// taken is gone, and revisions are given out again. Zero is a store that never did, or doesn't tell.
+// taken is gone, and revisions are given out again. Zero is a store that never was, or doesn't tell.
 type Epoch uint32
 
 // Position is a place in the store's history: an epoch, and a revision within it, which grows with each change
-// of any object. Positions are ordered by their epoch first, as uint64 are: whatever a store says after it came
-// back supersedes what it said before. Zero is before the first change.
+// of any object. Positions are ordered by their epoch first, as uint64 are: whatever a store says after it was
+// restored supersedes what it said before. Zero is before the first change.
 type Position uint64
 
 const (
 	// revisionBits leaves a store a trillion changes in an epoch.
 	revisionBits = 40
 	maxRevision  = 1<<revisionBits - 1
-	maxEpoch       = 1<<(64-revisionBits) - 1
+	maxEpoch     = 1<<(64-revisionBits) - 1
 )
 
-// RestoreGrace is for how long after the store was restored from a snapshot what it lacks counts as lost with the restore,
-// and not as taken back: operators and upstreams write theirs again within it. Then the store is believed.
+// RestoreGrace is for how long after the store was restored from a snapshot a drain or an evacuation that it lacks counts
+// as lost, and not as taken back: operators and upstreams write theirs again within it.
 const RestoreGrace = 5 * time.Second
 
 // ErrPosition is returned for an epoch or a revision that is too large.
--- a/internal/version/registry/catalog.go
+++ b/internal/version/registry/catalog.go
@@ -31,6 +31,8 @@
 	// known. That stays in force until restoredUntil, or until the store says something else.
 	older         map[bundle.UpstreamID]Registration
 	restoredUntil time.Time
+	// restoring is set while the list of a restored store is taken in: what it lacks has not gone.
+	restoring bool
 	// doubtUntil is the time up to which a vanished entry may be a lapse of the
 	// store and not of the upstream.
 	doubtUntil time.Time
@@ -235,7 +237,7 @@
 	delete(c.older, ch.ID)
 	c.changed[ch.ID] = struct{}{}
 	c.note(Change{Registration: old, Gone: true}, asOf, now)
-	if !old.Draining && !old.Unusable && now.Before(c.doubtUntil) || now.Before(c.restoredUntil) {
+	if !old.Draining && !old.Unusable && now.Before(c.doubtUntil) || c.restoring {
 		c.vanished[ch.ID] = kept{Registration: old, until: c.doubtUntil}
 	}
 	return true
--- a/internal/version/registry/restored.go
+++ b/internal/version/registry/restored.go
@@ -10,15 +10,15 @@
 )
 
 // restore takes in the list of a store that was restored from a snapshot. What is later known of an upstream than the
-// snapshot says stays in force until the upstream writes again, for objects.RestoreGrace at most, and an upstream that
-// the snapshot lacks is kept as long. It reports whether anything changed.
+// snapshot says stays in force until the upstream writes again, for objects.RestoreGrace at most. An upstream that
+// the snapshot lacks is kept as one whose entry lapsed while the store was away. It reports whether anything changed.
 func (c *Catalog) restore(list []Registration, asOf objects.Position, now time.Time) bool {
 	c.restoredUntil = now.Add(objects.RestoreGrace)
-	if c.restoredUntil.After(c.doubtUntil) {
-		c.doubtUntil = c.restoredUntil
-	}
+	c.StoreReturned(now)
 	list, older := c.withLater(list)
+	c.restoring = true
 	changed := c.advance(c.leadingTo(list), asOf, now)
+	c.restoring = false
 	c.older = older
 	// Whoever is behind by changes of an earlier epoch needs the whole list.
 	c.log, c.forgotten = nil, asOf
@@ -27,11 +27,11 @@
 
 // withLater returns a list of the store with what is later known of its upstreams, and what the store says of these.
 func (c *Catalog) withLater(list []Registration) (out []Registration, older map[bundle.UpstreamID]Registration) {
-	left := c.left()
+	departed := c.departed()
 	older = make(map[bundle.UpstreamID]Registration)
 	out = make([]Registration, 0, len(list))
 	for _, r := range list {
-		later, ok := c.laterThan(&r, left)
+		later, ok := c.laterThan(&r, departed)
 		if ok {
 			older[r.ID] = r
 			later.Created, later.Revision = r.Created, r.Revision
@@ -44,8 +44,8 @@
 
 // laterThan returns what is known of an upstream if that is later than an entry of a snapshot. An upstream that had left
 // is back with the snapshot, and still takes no new flow.
-func (c *Catalog) laterThan(r *Registration, left map[bundle.UpstreamID]Registration) (Registration, bool) {
-	if old, ok := left[r.ID]; ok {
+func (c *Catalog) laterThan(r *Registration, departed map[bundle.UpstreamID]Registration) (Registration, bool) {
+	if old, ok := departed[r.ID]; ok {
 		return old, r.Restarted(&old) != RestartCertain && r.Sequence <= old.Sequence
 	}
 	old, ok := c.entries[r.ID]
@@ -55,8 +55,8 @@
 	return old, r.precedes(&old)
 }
 
-// left returns the upstreams that drained and left lately, as they were last.
-func (c *Catalog) left() map[bundle.UpstreamID]Registration {
+// departed returns the upstreams that drained and left lately, as they were last.
+func (c *Catalog) departed() map[bundle.UpstreamID]Registration {
 	out := make(map[bundle.UpstreamID]Registration)
 	for i := range c.log {
 		switch ch := &c.log[i].change; {
@@ -85,8 +85,8 @@
 	return true
 }
 
-// HeldBack returns the upstreams that are used by what was known of them before the store was restored from a snapshot, and
-// for how long, for a daemon that started since and can't know it.
+// HeldBack returns the upstreams that are used by what was known of them in place of an older entry of the restored
+// store, and for how long, for a daemon that started since and can't know it.
 func (c *Catalog) HeldBack(now time.Time) ([]Registration, time.Duration) {
 	left := c.restoredUntil.Sub(now)
 	if left <= 0 {
@@ -96,40 +96,32 @@
 	for _, id := range slices.Sorted(maps.Keys(c.older)) {
 		out = append(out, c.entries[id])
 	}
-	for _, id := range slices.Sorted(maps.Keys(c.vanished)) {
-		out = append(out, c.vanished[id].Registration)
-	}
 	return out, left
 }
 
 // HoldBack takes over what another daemon holds back of the same list, for a time. It reports whether anything changed.
 func (c *Catalog) HoldBack(list []Registration, left time.Duration, now time.Time) bool {
-	until := now.Add(min(left, objects.RestoreGrace))
 	changed := false
 	for _, later := range list {
-		changed = c.holdBack(later, until) || changed
+		changed = c.holdBack(later) || changed
 	}
-	if changed && until.After(c.restoredUntil) {
+	if until := now.Add(min(left, objects.RestoreGrace)); changed && until.After(c.restoredUntil) {
 		c.restoredUntil = until
 	}
 	return changed
 }
 
-func (c *Catalog) holdBack(later Registration, until time.Time) bool {
+// holdBack puts what is later known of an upstream in place of its entry, if that has not changed since. It reports
+// whether it did.
+func (c *Catalog) holdBack(later Registration) bool {
 	r, listed := c.entries[later.ID]
-	_, vanished := c.vanished[later.ID]
-	_, held := c.older[later.ID]
-	switch {
-	case !listed && vanished, held, listed && later.Revision != r.Revision:
+	if _, held := c.older[later.ID]; held || !listed || later.Revision != r.Revision {
 		return false
-	case !listed:
-		c.vanished[later.ID] = kept{Registration: later, until: until}
-	default:
-		c.older[later.ID] = r
-		c.count(&r, -1)
-		c.count(&later, 1)
-		c.entries[later.ID] = later
 	}
+	c.older[later.ID] = r
+	c.count(&r, -1)
+	c.count(&later, 1)
+	c.entries[later.ID] = later
 	c.changed[later.ID] = struct{}{}
 	return true
 }
