carrier: a history that is gone is listed at once also after failed calls; the epoch at a start is no restore

Each has its own count now; no test shows the pause itself. A daemon that starts before a store of a later epoch no longer says that the store was restored: TestEpochOfAStartIsNoRestore.

--- a/cmd/fescueshed/status.go
+++ b/cmd/fescueshed/status.go
@@ -86,7 +86,7 @@
 	for _, k := range s.Kinds {
 		fmt.Fprintf(w, "%s\t%s\t%.1f s\n", k.Kind, k.AsOf, k.Age)
 	}
-	if s.Epoch == 0 {
+	if s.EpochSince.IsZero() {
 		return
 	}
 	fmt.Fprintf(w, "restored %d times, heard %s; upstreams held over an older entry %d, though missing %d\n",
--- a/internal/process/carrier/follower.go
+++ b/internal/process/carrier/follower.go
@@ -64,10 +64,11 @@
 func (f *follower[T]) run(ctx context.Context) {
 	// Zero means that the kind is to be listed.
 	var asOf objects.Position
-	failures := 0
+	// failures and gone count failed calls, and histories that are gone, in a row.
+	failures, gone := 0, 0
 	for ctx.Err() == nil {
 		if !f.c.reads(time.Now()) {
-			asOf, f.listing, failures = 0, nil, 0
+			asOf, f.listing, failures, gone = 0, nil, 0, 0
 			f.c.awaitTurn(ctx)
 			continue
 		}
@@ -78,7 +79,7 @@
 		next, changed, err := f.step(ctx, asOf)
 		switch {
 		case err == nil:
-			asOf, failures = next, 0
+			asOf, failures, gone = next, 0, 0
 			f.stalls.Watched()
 			if changed {
 				f.c.members.tellNews(time.Now())
@@ -87,10 +88,11 @@
 		case eris.Is(err, objects.ErrHistoryGone):
 			klog.InfoS("Store dropped its history", "Kind", f.kind, "AsOf", asOf, "Error", err.Error())
 			asOf, f.listing, f.fresh = 0, nil, true
-			if failures > 0 {
-				f.pause(ctx, failures)
+			if gone > 0 {
+				// Those who answer are of different epochs.
+				f.pause(ctx, gone)
 			}
-			failures++
+			gone++
 		case asOf != 0 && f.listsInstead(err, began):
 			klog.InfoS("Store can't be watched, it is listed", "Kind", f.kind, "AsOf", asOf, "Error", err.Error())
 			asOf, f.listing, f.fresh = 0, nil, true
--- a/internal/process/carrier/knowledge.go
+++ b/internal/process/carrier/knowledge.go
@@ -46,13 +46,20 @@
 	failing, answered time.Time
 }
 
-// seeEpoch notes the epoch that an answer or a message tells, and reports whether it is a later one than was known.
+// seeEpoch notes the epoch that an answer or a message tells, and reports whether the store was restored since
+// something was known of it.
 func (k *knowledge) seeEpoch(e objects.Epoch, now time.Time) bool {
 	if e <= k.epoch {
 		return false
 	}
-	k.epoch, k.epochSince = e, now
-	return true
+	k.epoch = e
+	for of := range numKinds {
+		if k.asOf(of) != 0 {
+			k.epochSince = now
+			return true
+		}
+	}
+	return false
 }
 
 // asOf returns the position as of which a kind is known.
--- /dev/null
+++ b/internal/process/carrier/knowledge_test.go
@@ -0,0 +1,24 @@
+package carrier
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/fescueshed/fescueshed/internal/version/registry"
+)
+
+// Guards against a daemon that says at its start that the store was restored, since it hears of its epoch then.
+func TestEpochOfAStartIsNoRestore(t *testing.T) {
+	g := NewWithT(t)
+	k := knowledge{catalog: registry.NewCatalog()}
+	now := time.Unix(0, 0)
+	g.Expect(k.seeEpoch(3, now)).To(BeFalse())
+	g.Expect(k.epoch).To(BeEquivalentTo(3))
+	g.Expect(k.epochSince.IsZero()).To(BeTrue())
+	k.catalog.Replace(nil, 1<<41, now)
+	g.Expect(k.seeEpoch(3, now)).To(BeFalse())
+	g.Expect(k.seeEpoch(4, now)).To(BeTrue())
+	g.Expect(k.epochSince).To(Equal(now))
+}
--- a/internal/process/status/status.go
+++ b/internal/process/status/status.go
@@ -41,7 +41,7 @@
 // StoreStatus is how a daemon knows the store's content.
 type StoreStatus struct {
 	// Epoch counts how often the store was restored from a snapshot, EpochSince is when this daemon heard of
-	// the last time, zero if it didn't.
+	// the last time, zero if that was before its start.
 	Epoch      objects.Epoch
 	EpochSince time.Time
 	Kinds      []StoreKindStatus
--- a/internal/version/registry/catalog.go
+++ b/internal/version/registry/catalog.go
@@ -299,12 +299,12 @@
 	c.log = append(c.log, logged{at: now, asOf: asOf, change: ch})
 }
 
-// Held returns how many upstreams are used otherwise than the store says: by what was known before it came back from a
+// Held returns how many upstreams are used otherwise than the store says: by what was known before it was restored from a
 // snapshot, in place of an older entry, or though it lacks them.
 func (c *Catalog) Held() (older, missing int) { return len(c.older), len(c.vanished) }
 
-// Expire removes vanished entries whose time is over, and believes the store of those that it had an older
-// content of. It reports whether there were any.
+// Expire removes vanished entries whose time is over, and goes by the store again for those that it had an older
+// entry of. It reports whether there were any.
 func (c *Catalog) Expire(now time.Time) bool {
 	changed := c.release(now)
 	for id, k := range c.vanished {
