carrier: contacts that are gone from the store are written again

Their keeper went on holding what it had read before for what the store has, so it never found them out of date.

TestContactsAreWrittenAgainToARestoredStore failed for 30 s before, with the look in a new epoch already there, and passes now. TestBundleUnderAReusedRevisionIsInForce passed before, too, since versions are the operators' own.

--- a/internal/process/carrier/contacts.go
+++ b/internal/process/carrier/contacts.go
@@ -118,8 +118,10 @@
 		k.at, k.epoch = time.Time{}, epoch
 	}
 	if k.at.IsZero() || time.Since(k.at) > contactsRead {
-		err := k.read(ctx)
-		if err != nil && !eris.Is(err, objects.ErrNotFound) {
+		switch err := k.read(ctx); {
+		case eris.Is(err, objects.ErrNotFound):
+			k.known = objects.Object[peer.Contacts]{}
+		case err != nil:
 			klog.InfoS("Contacts not read", "Error", err.Error())
 			return
 		}
--- a/internal/process/carrier/restored_test.go
+++ b/internal/process/carrier/restored_test.go
@@ -171,3 +171,39 @@
 		})
 	}
 }
+
+// Guards against a version that goes unheard since it is written under a revision that was given out before, or that is
+// undone since the snapshot is older.
+func TestBundleUnderAReusedRevisionIsInForce(t *testing.T) {
+	g := NewWithT(t)
+	w := openWorld(t, world.Options{Seed: 1, Hosts: 3, Upstreams: 12})
+	nodes := openAll(t, w)
+	restore := w.Store.Snapshot()
+	lost := w.Roll()
+	g.Eventually(inForce(nodes, lost), patience).Should(BeTrue())
+	restore()
+	for _, n := range nodes {
+		g.Eventually(func() int { return n.metric(t, "fescueshed_store_epoch") }, patience).Should(Equal(1))
+	}
+	g.Expect(inForce(nodes, lost)()).To(BeTrue(), "nobody goes back")
+	g.Eventually(inForce(nodes, w.Roll()), patience).Should(BeTrue())
+}
+
+// Guards against hosts that nobody finds any more after the store was restored from a snapshot without contacts: their
+// seeds are out of date.
+func TestContactsAreWrittenAgainToARestoredStore(t *testing.T) {
+	g := NewWithT(t)
+	const (
+		kind, name = "fescueshed-contacts", "main"
+		readBack   = 5 * time.Second
+	)
+	w := openWorld(t, world.Options{Seed: 1, Hosts: 3, Upstreams: 3})
+	restore := w.Store.Snapshot()
+	openAll(t, w)
+	written := func() string { return w.Store.Content(kind, name) }
+	g.Eventually(written, patience).ShouldNot(BeEmpty())
+	time.Sleep(readBack) // Then the keeper looks only rarely what the store has.
+	restore()
+	g.Expect(written()).To(BeEmpty())
+	g.Eventually(written, patience).ShouldNot(BeEmpty())
+}
