cookie: place, probe and report without a walk over all upstreams

Callers of a fleet with 8,000 upstreams of a service waited for over a millisecond of a whole core for each new flow, five times that on a small host, and every host spent 2.5 ms of a core twice a second, and a walk over all upstreams twenty times a second, without a single packet: choose, Report, OwnZoneLoads, Expire and DueProbes each looked at every upstream of every zone, and so did each choice of a reference for a probe and each new version of the bundle.

Upstreams are now kept in pools, one for each service and zone, and in sets by what is to be done about them; each change moves one upstream. A new flow draws random members of its zone's pool. If fewer than a few per cent take flows, the pool is searched as a whole; one in which none does isn't searched again for 50 ms.

--- a/internal/connection/cookie/bench_test.go
+++ b/internal/connection/cookie/bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"strconv"
 	"sync"
 	"testing"
 	"time"
@@ -60,6 +61,51 @@
 	}
 }
 
+// fleetSizes are numbers of upstreams, in five zones.
+var fleetSizes = []int{50, 500, 2000, 10_000, 20_000}
+
+func fleetEngine(n int) *cookie.Engine {
+	return newEngine(manyRegistrations(n, ownZone, otherZone, "c", "d", "e"))
+}
+
+// BenchmarkOpenInFleet places new flows in fleets of several sizes.
+func BenchmarkOpenInFleet(b *testing.B) {
+	for _, n := range fleetSizes {
+		b.Run(strconv.Itoa(n), func(b *testing.B) {
+			gomega.RegisterTestingT(b)
+			e := fleetEngine(n)
+			b.ReportAllocs()
+			now := start
+			for i := 0; b.Loop(); i++ {
+				p := newCaller(i%60_000, feedAt).first(0)
+				p.Key.CallerIP[0] = byte(i >> 16)
+				e.Decide(p, now)
+				if i%benchFlows == 0 {
+					now = now.Add(time.Minute)
+					e.Expire(now)
+				}
+			}
+		})
+	}
+}
+
+// BenchmarkSweepInFleet does what a host does periodically, without flows, in fleets of several sizes.
+func BenchmarkSweepInFleet(b *testing.B) {
+	for _, n := range fleetSizes {
+		b.Run(strconv.Itoa(n), func(b *testing.B) {
+			gomega.RegisterTestingT(b)
+			e := fleetEngine(n)
+			b.ReportAllocs()
+			for b.Loop() {
+				e.DueProbes(start)
+				e.Report(1)
+				e.OwnZoneLoads()
+				e.Expire(start)
+			}
+		})
+	}
+}
+
 // BenchmarkNaive is the baseline to which BenchmarkEstablished is compared: hash modulo n, one map
 // of flows under one mutex, the least loaded of all upstreams at placement.
 func BenchmarkNaive(b *testing.B) {
--- a/internal/connection/cookie/ejection.go
+++ b/internal/connection/cookie/ejection.go
@@ -51,6 +51,7 @@
 func (e *Engine) recordFailure(f *flow) {
 	if f.requestPending {
 		f.upstream.outcomes.failed++
+		f.upstream.markActive()
 		f.endRequest()
 	}
 }
@@ -67,7 +68,7 @@
 	}
 	if now.Sub(e.outcomesRotatedAt) >= outcomeWindow {
 		e.outcomesRotatedAt = now
-		for _, u := range e.upstreams {
+		for _, u := range e.index.active.list {
 			u.outcomes.rotate()
 		}
 	}
@@ -77,7 +78,9 @@
 // zero.
 func (e *Engine) UpstreamLoads() []peer.Load {
 	var out []peer.Load
-	for _, u := range e.upstreams {
+	active := &e.index.active
+	for i := len(active.list) - 1; i >= 0; i-- {
+		u := active.list[i]
 		o := &u.outcomes
 		l := peer.Load{
 			Cookie:   uint32(u.Cookie),
@@ -85,7 +88,10 @@
 			Answered: o.answered + o.lastAnswered,
 			Failed:   o.failed + o.lastFailed,
 		}
-		if u.registered && !u.shadowed && l.Flows+l.Answered+l.Failed > 0 {
+		switch counted := l.Flows+l.Answered+l.Failed > 0; {
+		case !counted:
+			active.put(u, false)
+		case u.registered && !u.shadowed:
 			out = append(out, l)
 		}
 	}
@@ -113,6 +119,7 @@
 		u.ejections = min(u.ejections+1, maxEjectSteps)
 		u.ejectedUntil = now.Add(ejectDuration << (u.ejections - 1))
 		u.outcomes = outcomes{}
+		u.pool.ejected.put(u, true)
 		out = append(out, u.Route.ID)
 	}
 	return out
@@ -134,17 +141,15 @@
 	return float64(failed) / float64(max(1, failed+answered))
 }
 
-// mayEject reports whether the ejection of one more upstream stays within maxEjectedShare.
+// mayEject reports whether the ejection of one more upstream stays within maxEjectedShare of those
+// of its pool that don't drain. Draining ones are few, and the walk over them is as rare as a
+// failing upstream.
 func (e *Engine) mayEject(u *Upstream, now time.Time) bool {
-	all, ejected := 0, 0
-	for _, o := range e.index.byService[u.Route.Service.Name] {
-		if o.Route.Zone != u.Route.Zone || o.Route.Drain {
-			continue
-		}
-		all++
-		if now.Before(o.ejectedUntil) {
-			ejected++
+	all := 0
+	for _, o := range u.pool.registered.list {
+		if !o.Route.Drain {
+			all++
 		}
 	}
-	return float64(ejected+1) <= maxEjectedShare*float64(all)
+	return float64(u.pool.activeEjections(now)+1) <= maxEjectedShare*float64(all)
 }
--- a/internal/connection/cookie/engine.go
+++ b/internal/connection/cookie/engine.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/fescueshed/fescueshed/internal/connection/upstream"
@@ -32,10 +33,13 @@
 
 // Engine decides what is done with each packet. It isn't safe for concurrent use.
 type Engine struct {
-	opts      Options
-	routing   *bundle.Routing
+	opts    Options
+	routing *bundle.Routing
+	// services holds each registered service as its upstreams refer to it. An entry is replaced only
+	// if the service's settings change.
+	services  map[string]*bundle.ServiceRoute
 	upstreams map[bundle.UpstreamID]*Upstream
-	index     index
+	index     *index
 	flows     map[Key]*flow
 	// unknownCookies holds when each cookie that names no known upstream was first seen.
 	unknownCookies map[Cookie]time.Time
@@ -61,11 +65,13 @@
 	healthByZone map[bundle.Zone]*zoneHealth
 	// evacuated holds since when each evacuated zone is evacuated.
 	evacuated map[bundle.Zone]time.Time
-	// candidates is a buffer that choose reuses.
-	candidates []upstream.Candidate
-	requests   map[string]*Requests
-	LoadTable  *upstream.LoadTable
-	Counters   Counters
+	// search is the search for an upstream that choose reuses.
+	search   search
+	requests map[string]*Requests
+	// reported are the upstreams of the last report of the zone's sum.
+	reported  []bundle.UpstreamID
+	LoadTable *upstream.LoadTable
+	Counters  Counters
 }
 
 // Counters count decisions by cause. Like the engine, they aren't safe for concurrent use.
@@ -88,6 +94,7 @@
 	}
 	return &Engine{
 		opts:           o,
+		services:       make(map[string]*bundle.ServiceRoute),
 		upstreams:      make(map[bundle.UpstreamID]*Upstream),
 		index:          newIndex(),
 		flows:          make(map[Key]*flow),
@@ -125,14 +132,10 @@
 // and shows a restart.
 func (e *Engine) SetRouting(r *bundle.Routing, now time.Time) []Reset {
 	e.routing = r
+	e.updateServices()
 	var out []Reset
-	for _, u := range e.upstreams {
-		if s := r.Registered(u.Route.Service.Name); s != nil {
-			route := *u.Route
-			route.Service, route.Connections = s, s.Connections
-			u.Route = &route
-		}
-		if u.mismatched != nil && !e.hasMismatchedService(u, u.mismatched) {
+	for _, u := range slices.Clone(e.index.mismatched.list) {
+		if !e.hasMismatchedService(u, u.mismatched) {
 			out = append(out, e.register(u.mismatched, now)...)
 		}
 	}
@@ -144,6 +147,28 @@
 	return out
 }
 
+// updateServices makes the upstreams of services whose settings the routing table changes refer to
+// the new settings. A version that changes routes alone costs nothing for each upstream.
+func (e *Engine) updateServices() {
+	for name, pools := range e.index.pools {
+		s := e.routing.Registered(name)
+		if s == nil || s.SameSettings(e.services[name]) {
+			continue
+		}
+		e.services[name] = s
+		for _, p := range pools {
+			for _, u := range p.registered.list {
+				u.setService(s)
+			}
+		}
+	}
+	for _, u := range e.index.deregistered.list {
+		if s := e.routing.Registered(u.Route.Service.Name); s != nil && !s.SameSettings(u.Route.Service) {
+			u.setService(s)
+		}
+	}
+}
+
 // Update applies registrations that were added, changed or removed, and returns resets for flows of
 // upstreams that restarted. Its cost doesn't grow with the number of the other registrations, so
 // that a small host keeps up while thousands of upstreams are replaced.
@@ -184,16 +209,18 @@
 	case u != nil && r.Unusable && (u.registered || !r.HasContent()):
 		// Its open flows continue by its last usable registration.
 		u.registration.Revision, u.registration.Unusable = r.Revision, true
+		e.index.update(u)
 		return nil
 	case u == nil && !r.HasContent():
 		e.addDeregistered(r.ID, netip.AddrPort{}, now)
 		return nil
 	case u == nil:
-		u = &Upstream{Cookie: Of(r.ID), load: e.LoadTable.Load(r.ID)}
+		u = &Upstream{Cookie: Of(r.ID), load: e.LoadTable.Load(r.ID), index: e.index}
 		e.upstreams[r.ID] = u
 	case e.hasMismatchedService(u, r):
 		mismatched := *r
 		u.mismatched = &mismatched
+		e.index.update(u)
 		return nil
 	}
 	var out []Reset
@@ -286,6 +313,6 @@
 // forgetFlow removes a flow record and takes the flow off the load of its upstream.
 func (e *Engine) forgetFlow(k Key, f *flow) {
 	f.removeFromLoad()
-	f.upstream.flowRecords--
+	f.upstream.addFlowRecords(-1)
 	delete(e.flows, k)
 }
--- a/internal/connection/cookie/established.go
+++ b/internal/connection/cookie/established.go
@@ -77,7 +77,7 @@
 	}
 	f := &flow{upstream: u, opened: true, lastPacket: now, placedAt: now, ack: p.Ack, next: p.Seq}
 	e.flows[p.Key] = f
-	u.flowRecords++
+	u.addFlowRecords(1)
 	e.observe(f, p, r, now)
 	return Verdict{Action: ActionForward, Upstream: u}
 }
--- a/internal/connection/cookie/flow.go
+++ b/internal/connection/cookie/flow.go
@@ -64,7 +64,7 @@
 func (f *flow) addToLoad() {
 	if !f.inLoad {
 		f.inLoad = true
-		f.upstream.load.Flows.Add(1)
+		f.upstream.addFlows(1)
 	}
 }
 
@@ -72,7 +72,7 @@
 func (f *flow) removeFromLoad() {
 	if f.inLoad {
 		f.inLoad = false
-		f.upstream.load.Flows.Add(-1)
+		f.upstream.addFlows(-1)
 	}
 	f.endRequest()
 }
@@ -98,10 +98,10 @@
 // moveTo assigns the flow to another upstream and moves its load there.
 func (f *flow) moveTo(u *Upstream) {
 	f.removeFromLoad()
-	f.upstream.flowRecords--
+	f.upstream.addFlowRecords(-1)
 	f.upstream = u
 	f.formerIncarnation = false
-	u.flowRecords++
+	u.addFlowRecords(1)
 	f.addToLoad()
 }
 
@@ -115,6 +115,7 @@
 		e.markAlive(f.upstream, now)
 		if f.requestPending {
 			f.upstream.outcomes.answered++
+			f.upstream.markActive()
 		}
 		if f.requestPending || f.overdue {
 			e.countAnswered(f, r, now)
--- a/internal/connection/cookie/load.go
+++ b/internal/connection/cookie/load.go
@@ -1,6 +1,8 @@
 package cookie
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/fescueshed/fescueshed/internal/connection/peer"
@@ -40,18 +42,25 @@
 const zoneLoadTTL = 1100 * time.Millisecond
 
 // ServiceLoads returns what this balancer counts of each service, for those where any count isn't
-// zero.
+// zero, sorted by name.
 func (e *Engine) ServiceLoads() []peer.ServiceLoad {
-	var out []peer.ServiceLoad
-	for name, list := range e.index.byService {
-		s := peer.ServiceLoad{Service: name}
-		for _, u := range list {
-			s.Flows += uint32(max(0, u.load.Flows.Load()))
-			s.Requests += uint32(max(0, u.load.Requests.Load()))
-			s.Answered += u.outcomes.answered + u.outcomes.lastAnswered
-			s.Failed += u.outcomes.failed + u.outcomes.lastFailed
+	byName := make(map[string]peer.ServiceLoad)
+	for _, u := range e.index.active.list {
+		if !u.registered {
+			continue
 		}
-		if s.Flows+s.Answered+s.Failed > 0 {
+		name := u.Route.Service.Name
+		s := byName[name]
+		s.Service = name
+		s.Flows += uint32(max(0, u.load.Flows.Load()))
+		s.Requests += uint32(max(0, u.load.Requests.Load()))
+		s.Answered += u.outcomes.answered + u.outcomes.lastAnswered
+		s.Failed += u.outcomes.failed + u.outcomes.lastFailed
+		byName[name] = s
+	}
+	var out []peer.ServiceLoad
+	for _, name := range slices.Sorted(maps.Keys(byName)) {
+		if s := byName[name]; s.Flows+s.Answered+s.Failed > 0 {
 			out = append(out, s)
 		}
 	}
@@ -93,16 +102,16 @@
 	}
 }
 
-// zoneFlowsPerSlot returns the number of flows for each slot in the upstream's zone, -1 if it isn't
-// known or the zone may be cut off, 0 for the own zone.
-func (e *Engine) zoneFlowsPerSlot(u *Upstream, now time.Time) float64 {
-	if u.Route.Zone == e.opts.Zone {
+// zoneFlowsPerSlot returns the number of flows for each slot in a pool's zone, -1 if it isn't known
+// or the zone may be cut off, 0 for the own zone.
+func (e *Engine) zoneFlowsPerSlot(p *pool, now time.Time) float64 {
+	if p.zone == e.opts.Zone {
 		return 0
 	}
-	if u.zoneHealth.isSuspect(now) {
+	if p.health.isSuspect(now) {
 		return -1
 	}
-	l, ok := e.zoneLoads[zoneService{zone: u.Route.Zone, service: u.Route.Service.Name}]
+	l, ok := e.zoneLoads[zoneService{zone: p.zone, service: p.service}]
 	if !ok {
 		return -1
 	}
@@ -112,18 +121,17 @@
 // OwnZoneLoads returns the loads of the balancer's own zone: what all its members count at the
 // upstreams that take new flows. It returns none if the zone is evacuated.
 func (e *Engine) OwnZoneLoads() []peer.ZoneLoad {
+	if _, evacuated := e.evacuated[e.opts.Zone]; evacuated {
+		return nil
+	}
 	var out []peer.ZoneLoad
-	for name, list := range e.index.byService {
-		z := peer.ZoneLoad{Zone: e.opts.Zone, Service: name}
-		for _, u := range list {
-			if u.Route.Zone != e.opts.Zone || !u.usable() || e.isEvacuated(u) {
-				continue
+	for _, name := range slices.Sorted(maps.Keys(e.index.pools)) {
+		for _, p := range e.index.pools[name] {
+			if p.zone == e.opts.Zone && p.slots > 0 {
+				out = append(out, peer.ZoneLoad{
+					Zone: p.zone, Service: name, Slots: uint32(p.slots), Flows: uint32(max(0, p.flows)),
+				})
 			}
-			z.Slots += uint32(u.Route.Slots)
-			z.Flows += uint32(max(0, u.load.Total()))
-		}
-		if z.Slots > 0 {
-			out = append(out, z)
 		}
 	}
 	return out
--- a/internal/connection/cookie/open.go
+++ b/internal/connection/cookie/open.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"github.com/fescueshed/fescueshed/internal/connection/upstream"
 	"github.com/fescueshed/fescueshed/internal/version/bundle"
 )
 
@@ -64,7 +63,7 @@
 	}
 	f := &flow{upstream: u, lastCopy: p.Copy, placedAt: now, lastPacket: now, ack: p.Ack}
 	e.flows[p.Key] = f
-	u.flowRecords++
+	u.addFlowRecords(1)
 	f.addToLoad()
 	return Verdict{Action: ActionForward, Cause: e.placedCause(u), Upstream: u}
 }
@@ -90,49 +89,18 @@
 	return CausePlaced
 }
 
-// choose returns the policy's choice among the service's upstreams that may take a flow of the
-// route, except for the given ones. If there is none, it tries again with those that are suspects
-// or ejected too. It returns nil if there is none either.
-func (e *Engine) choose(
-	r *bundle.CallerRoute, s *bundle.ServiceRoute, seed uint64, exclude []*Upstream, now time.Time,
-) *Upstream {
-	requestsPerFlow := e.activity[s.Name].requestsPerFlow
-	for _, suspected := range [...]bool{false, true} {
-		e.candidates = e.candidates[:0]
-		for _, u := range e.index.byService[s.Name] {
-			if excluded(u, exclude) || !e.mayEnter(r, u) || !u.eligible(suspected, now) || !e.withinWarmupLimit(u, now) {
-				continue
-			}
-			e.candidates = append(e.candidates, upstream.Candidate{
-				Route:           u.Route,
-				Load:            u.load,
-				WarmingUp:       now.Before(u.warmingUntil),
-				RequestsPerFlow: requestsPerFlow,
-
-				ZoneFlowsPerSlot: e.zoneFlowsPerSlot(u, now),
-			})
-		}
-		if chosen := e.opts.Policy.Choose(e.candidates, seed); chosen != nil {
-			u := e.upstreams[chosen.ID]
-			e.recordWarmupFlow(u, now)
-			return u
-		}
-	}
-	return nil
-}
-
-// mayEnter reports whether new flows of a route may enter an upstream's zone at all. The rule holds
-// even if no other upstream is left.
-func (e *Engine) mayEnter(r *bundle.CallerRoute, u *Upstream) bool {
-	return !e.isEvacuated(u) && r.Allows(e.opts.Regions[u.Route.Zone])
+// mayEnter reports whether new flows of a route may enter a zone at all. The rule holds even if no
+// other upstream is left.
+func (e *Engine) mayEnter(r *bundle.CallerRoute, z bundle.Zone) bool {
+	_, evacuated := e.evacuated[z]
+	return !evacuated && r.Allows(e.opts.Regions[z])
 }
 
 // eligible reports whether a new flow may be placed at the upstream. If suspected is set, upstreams
-// qualify too that are used only if there is no better one: the upstream or its zone is a suspect,
-// or the upstream is ejected.
+// qualify too that are used only if there is no better one: those that are suspects or ejected.
 func (u *Upstream) eligible(suspected bool, now time.Time) bool {
 	if !suspected {
-		return u.acceptsFlows(now) && !u.zoneHealth.isSuspect(now)
+		return u.acceptsFlows(now)
 	}
 	return u.hasUsableRegistration() && !u.Route.Drain && !u.shadowed && u.health != HealthDead
 }
--- a/internal/connection/cookie/probe.go
+++ b/internal/connection/cookie/probe.go
@@ -24,11 +24,14 @@
 // upstreamRoute returns the route of a registration. If no bundle names its service yet, the
 // service has only a name and the default number of connections, and no flows lead to it.
 func (e *Engine) upstreamRoute(r *registry.Registration) *bundle.UpstreamRoute {
-	s := &bundle.ServiceRoute{Name: r.Service, Connections: defaultConnections}
-	if e.routing != nil {
-		if known := e.routing.Registered(r.Service); known != nil {
-			s = known
-		}
+	s := e.services[r.Service]
+	if s == nil && e.routing != nil {
+		s = e.routing.Registered(r.Service)
+	}
+	if s == nil {
+		s = &bundle.ServiceRoute{Name: r.Service, Connections: defaultConnections}
+	} else {
+		e.services[r.Service] = s
 	}
 	return &bundle.UpstreamRoute{
 		ID: r.ID, Service: s, Address: r.Address, Zone: r.Zone, Slots: r.Slots,
@@ -45,6 +48,7 @@
 func (e *Engine) markAlive(u *Upstream, now time.Time) {
 	e.lastSeen, e.pendingSuspects = now, nil
 	u.zoneHealth.markSeen(now)
+	u.zoneHealth.recent.add(u)
 	u.markAlive(now)
 }
 
@@ -71,9 +75,11 @@
 // Upstreams returns the registered upstreams, in the order of their services.
 func (e *Engine) Upstreams() []UpstreamLoad {
 	var out []UpstreamLoad
-	for _, name := range slices.Sorted(maps.Keys(e.index.byService)) {
-		for _, u := range e.index.byService[name] {
-			out = append(out, UpstreamLoad{Route: u.Route, Load: u.load})
+	for _, name := range slices.Sorted(maps.Keys(e.index.pools)) {
+		for _, p := range e.index.pools[name] {
+			for _, u := range p.registered.list {
+				out = append(out, UpstreamLoad{Route: u.Route, Load: u.load})
+			}
 		}
 	}
 	return out
@@ -87,7 +93,7 @@
 	if check, ok := e.dueCheck(now); ok {
 		out = append(out, check)
 	}
-	for _, u := range e.upstreams {
+	for _, u := range e.index.inDoubt.list {
 		if u.flowRecords == 0 && e.isEvacuated(u) {
 			continue // No caller waits for the result, and nothing is to be sent to an evacuated zone.
 		}
@@ -155,9 +161,9 @@
 // DeadUpstreams returns the registered upstreams that were found dead.
 func (e *Engine) DeadUpstreams() []bundle.UpstreamID {
 	var out []bundle.UpstreamID
-	for id, u := range e.upstreams {
+	for _, u := range e.index.inDoubt.list {
 		if u.registered && u.health == HealthDead {
-			out = append(out, id)
+			out = append(out, u.Route.ID)
 		}
 	}
 	return out
@@ -166,9 +172,9 @@
 // DeregisteredDead returns the deregistered upstreams that were found dead.
 func (e *Engine) DeregisteredDead() []peer.DeregisteredUpstream {
 	var out []peer.DeregisteredUpstream
-	for id, u := range e.upstreams {
-		if !u.registered && u.health == HealthDead {
-			out = append(out, peer.DeregisteredUpstream{ID: id, Address: u.Route.Address})
+	for _, u := range e.index.deregistered.list {
+		if u.health == HealthDead {
+			out = append(out, peer.DeregisteredUpstream{ID: u.Route.ID, Address: u.Route.Address})
 		}
 	}
 	return out
@@ -180,7 +186,7 @@
 func (e *Engine) LearnDeregisteredDead(upstreams []peer.DeregisteredUpstream, now time.Time) {
 	for _, d := range upstreams {
 		if e.upstreams[d.ID] == nil && d.Address.IsValid() {
-			e.addDeregistered(d.ID, d.Address, now).health = HealthSuspect
+			e.addDeregistered(d.ID, d.Address, now).setHealth(HealthSuspect)
 		}
 	}
 }
@@ -189,11 +195,12 @@
 // that name it aren't treated as packets with an unknown cookie.
 func (e *Engine) addDeregistered(id bundle.UpstreamID, at netip.AddrPort, now time.Time) *Upstream {
 	u := &Upstream{
-		Cookie: Of(id), load: e.LoadTable.Load(id), deregisteredAt: now, zoneHealth: e.zoneHealthOf(""),
+		Cookie: Of(id), load: e.LoadTable.Load(id), deregisteredAt: now, zoneHealth: e.zoneHealthOf(""), index: e.index,
 		Route: &bundle.UpstreamRoute{ID: id, Address: at, Service: &bundle.ServiceRoute{}},
 	}
 	e.upstreams[id] = u
 	e.index.assignCookie(u)
+	e.index.update(u)
 	return u
 }
 
@@ -223,11 +230,12 @@
 			delete(e.unknownCookies, c)
 		}
 	}
-	for id, u := range e.upstreams {
-		if !u.registered && u.flowRecords == 0 && now.Sub(u.deregisteredAt) > e.opts.FlowLifetime {
-			delete(e.upstreams, id)
-			e.index.releaseCookie(u)
-			e.LoadTable.Forget(id)
+	gone := e.index.deregistered.list
+	for i := len(gone) - 1; i >= 0; i-- {
+		if u := gone[i]; u.flowRecords == 0 && now.Sub(u.deregisteredAt) > e.opts.FlowLifetime {
+			delete(e.upstreams, u.Route.ID)
+			e.index.remove(u)
+			e.LoadTable.Forget(u.Route.ID)
 		}
 	}
 }
--- a/internal/connection/cookie/report.go
+++ b/internal/connection/cookie/report.go
@@ -43,10 +43,23 @@
 	e.SetZoneLoads(r.Zones, now)
 	e.SampleServiceLoads(r.Services)
 	ejected := e.EjectFailing(r.Loads, r.Services, now)
+	e.addReported(-1)
 	e.LoadTable.RetainMembers(nil)
 	e.LoadTable.UpdateReported(zoneSumMember, ids, flows)
+	e.reported = ids
+	e.addReported(1)
 	for _, id := range r.Dead {
 		e.NoteReportedDead(id, now)
 	}
 	return ejected
 }
+
+// addReported adds the flows that other balancers reported to the sums of the upstreams' pools if n
+// is 1, and removes them if n is -1.
+func (e *Engine) addReported(n int64) {
+	for _, id := range e.reported {
+		if u := e.upstreams[id]; u != nil && u.has(setUsable) {
+			u.pool.flows += n * (u.load.Total() - u.load.Flows.Load())
+		}
+	}
+}
--- a/internal/connection/cookie/restart.go
+++ b/internal/connection/cookie/restart.go
@@ -76,8 +76,14 @@
 			out = append(out, e.endFlow(k, f, CauseRestarted))
 		}
 	}
+	if u.has(setUsable) {
+		u.pool.add(u, -1)
+	}
 	e.LoadTable.Forget(r.ID)
 	u.load = e.LoadTable.Load(r.ID)
+	if u.has(setUsable) {
+		u.pool.add(u, 1)
+	}
 	u.resetIncarnation(now)
 	return out
 }
@@ -89,4 +95,5 @@
 	u.health, u.probeAnswered, u.lastSeen = HealthGood, now, time.Time{}
 	u.probesInFlight, u.timeouts, u.refusedOnce, u.nextProbe = 0, 0, false, now
 	u.outcomes, u.ejectedUntil, u.ejections = outcomes{}, time.Time{}, 0
+	u.index.update(u)
 }
--- a/internal/connection/cookie/upstream.go
+++ b/internal/connection/cookie/upstream.go
@@ -63,6 +63,11 @@
 	Route  *bundle.UpstreamRoute
 	Cookie Cookie
 	load   *upstream.Load
+	// index finds the upstream by its state; positions are its places in the sets there. pool is the
+	// one that it is registered in, nil while it isn't registered.
+	index     *index
+	positions [numSets]int32
+	pool      *pool
 	// zoneHealth is the state of the path to its zone.
 	zoneHealth *zoneHealth
 	// registration is the latest usable registration. Its Unusable is set if the present one can't
@@ -81,8 +86,6 @@
 	// mismatched is the present registration if it names a service that no bundle names, while the
 	// upstream was known as one of another service.
 	mismatched *registry.Registration
-	// serviceIndex is its index among the registered upstreams of its service, see index.
-	serviceIndex int
 	// shadowed is set if an older upstream has the same cookie. The upstream gets no flow: packets
 	// of the two couldn't be told apart.
 	shadowed bool
@@ -132,8 +135,8 @@
 func (u *Upstream) markAlive(now time.Time) {
 	u.lastSeen = now
 	if u.health != HealthGood {
-		u.health = HealthGood
 		u.timeouts = 0
+		u.setHealth(HealthGood)
 	}
 }
 
@@ -144,9 +147,59 @@
 
 // suspect makes the upstream a suspect and requests an immediate probe.
 func (u *Upstream) suspect(now time.Time) {
-	u.health = HealthSuspect
 	u.nextProbe = now
 	u.timeouts, u.refusedOnce, u.unaccepted = 0, false, 0
+	u.setHealth(HealthSuspect)
+}
+
+// setService replaces the service that the upstream's route refers to.
+func (u *Upstream) setService(s *bundle.ServiceRoute) {
+	route := *u.Route
+	route.Service, route.Connections = s, s.Connections
+	u.Route = &route
+}
+
+// hasCapacity reports whether the upstream may be given one more flow.
+func (u *Upstream) hasCapacity() bool {
+	return !u.Route.Drain && u.load.Total() < int64(u.Route.Connections)
+}
+
+func (u *Upstream) setHealth(h Health) {
+	u.health = h
+	u.index.update(u)
+}
+
+// addFlowRecords adds n flow records, or removes them if n is negative.
+func (u *Upstream) addFlowRecords(n int) {
+	before := u.flowRecords
+	u.flowRecords += n
+	if before == 0 || u.flowRecords == 0 {
+		u.index.update(u)
+	}
+}
+
+// addFlows adds n flows to the load, or removes them if n is negative.
+func (u *Upstream) addFlows(n int64) {
+	u.load.Flows.Add(n)
+	u.markActive()
+	if u.has(setUsable) {
+		u.pool.flows += n
+	}
+	if n < 0 && u.pool != nil {
+		u.pool.clearExhausted()
+	}
+}
+
+// markActive makes the upstream's counts part of the next report.
+func (u *Upstream) markActive() { u.index.active.put(u, true) }
+
+// inDoubt reports whether the upstream is probed once its next probe is due: a registered one until
+// a sign of life clears it, one that is no longer registered while flows lead to it.
+func (u *Upstream) inDoubt() bool {
+	if u.registered {
+		return u.health != HealthGood
+	}
+	return u.flowRecords > 0
 }
 
 // probeDue reports whether a probe is to be sent now.
@@ -158,10 +211,7 @@
 	case u.probesInFlight > 0 || now.Before(u.nextProbe):
 		return false
 	}
-	if !u.registered {
-		return u.flowRecords > 0
-	}
-	return u.health != HealthGood
+	return u.inDoubt()
 }
 
 // ProbeResult is the result of a probe of an upstream.
@@ -211,6 +261,7 @@
 			u.nextProbe = now
 		}
 	}
+	u.index.update(u)
 	return before != HealthDead && u.health == HealthDead
 }
 
--- a/internal/connection/cookie/zonehealth.go
+++ b/internal/connection/cookie/zonehealth.go
@@ -1,6 +1,7 @@
 package cookie
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -16,6 +17,29 @@
 	// lostAt is when several upstreams of the zone were found dead together, zero if an upstream
 	// was seen since.
 	lostAt time.Time
+	// recent are the upstreams there that last showed a sign of life.
+	recent recentUpstreams
+}
+
+// recentUpstreams holds a few different upstreams, the latest at the position next-1.
+type recentUpstreams struct {
+	list [numRecent]*Upstream
+	next int
+}
+
+// numRecent is the number of upstreams of a zone that are remembered: one of several is still a good
+// reference when some of them fail together.
+const numRecent = 8
+
+// add notes a sign of life of an upstream.
+func (r *recentUpstreams) add(u *Upstream) {
+	for _, o := range r.list {
+		if o == u {
+			return
+		}
+	}
+	r.list[r.next] = u
+	r.next = (r.next + 1) % numRecent
 }
 
 const (
@@ -56,7 +80,7 @@
 func (h *zoneHealth) isSuspect(now time.Time) bool { return now.Before(h.suspectUntil) }
 
 // markSeen notes a sign of life from the zone and clears all suspicion.
-func (h *zoneHealth) markSeen(now time.Time) { *h = zoneHealth{lastSeen: now} }
+func (h *zoneHealth) markSeen(now time.Time) { *h = zoneHealth{lastSeen: now, recent: h.recent} }
 
 // noteUnanswered notes that a caller retransmitted a packet to an upstream, or has waited long for
 // its answer. If the upstream is silent while others are seen, it becomes a suspect. While no
@@ -138,8 +162,8 @@
 	found := make([]bundle.UpstreamID, 0, len(silent))
 	for _, s := range silent {
 		found = append(found, s.Route.ID)
-		s.health = HealthDead
 		s.nextProbe = now.Add(reprobeInterval)
+		s.setHealth(HealthDead)
 		dead[s] = true
 	}
 	if len(found) > 1 {
@@ -169,7 +193,7 @@
 // unacceptedInZone returns the registered suspects of a zone that left a probe unaccepted.
 func (e *Engine) unacceptedInZone(h *zoneHealth) []*Upstream {
 	var out []*Upstream
-	for _, u := range e.upstreams {
+	for _, u := range e.index.inDoubt.list {
 		if u.zoneHealth == h && u.registered && u.health == HealthSuspect && u.unaccepted > 0 {
 			out = append(out, u)
 		}
@@ -180,8 +204,8 @@
 // suspectOthers requests a probe of each registered upstream of a zone that has flows and is in
 // good health.
 func (e *Engine) suspectOthers(h *zoneHealth, now time.Time) {
-	for _, u := range e.upstreams {
-		if u.zoneHealth == h && u.registered && u.flowRecords > 0 && u.health == HealthGood {
+	for _, u := range e.index.withFlows.list {
+		if u.zoneHealth == h && u.registered && u.health == HealthGood {
 			u.suspect(now)
 		}
 	}
@@ -199,28 +223,63 @@
 }
 
 // chooseReference returns the upstream whose answer shows whether an unanswered probe of target is
-// due to a fault on this host's side, or nil if there is none: the one that was seen last. If no
-// upstream of the target's zone was seen lately, the reference is one of another zone, since the
-// whole zone may be silent. Among upstreams that were seen at the same time or never, a hash of the
-// two identifiers and the time chooses.
+// due to a fault on this host's side, or nil if there is none: the one that was seen last of those
+// that each zone remembers. If no upstream of the target's zone was seen lately, the reference is
+// one of another zone, since the whole zone may be silent. Among upstreams that were seen at the
+// same time, a hash of the two identifiers and the time chooses, and so it does among all usable
+// ones if none was seen.
 func (e *Engine) chooseReference(target *Upstream, now time.Time) *bundle.UpstreamRoute {
 	silentZone := now.Sub(target.zoneHealth.lastSeen) >= aliveTTL
 	var best *Upstream
 	var bestDraw uint64
-	for _, u := range e.upstreams {
-		if u == target || !u.registered || u.health != HealthGood || e.isEvacuated(u) {
-			continue
-		}
-		if silentZone && u.zoneHealth == target.zoneHealth {
+	for _, h := range e.healthByZone {
+		if silentZone && h == target.zoneHealth {
 			continue
 		}
-		draw := peer.Mix(uint64(u.Route.ID) ^ uint64(target.Route.ID) ^ uint64(now.UnixNano()))
-		if best == nil || u.lastSeen.After(best.lastSeen) || u.lastSeen.Equal(best.lastSeen) && draw > bestDraw {
-			best, bestDraw = u, draw
+		for _, u := range h.recent.list {
+			if u == nil || u == target || !u.registered || u.health != HealthGood || e.isEvacuated(u) {
+				continue
+			}
+			draw := referenceDraw(target, now, uint64(u.Route.ID))
+			if best == nil || u.lastSeen.After(best.lastSeen) || u.lastSeen.Equal(best.lastSeen) && draw > bestDraw {
+				best, bestDraw = u, draw
+			}
 		}
 	}
+	if best == nil {
+		best = e.unseenReference(target, silentZone, now)
+	}
 	if best == nil {
 		return nil
 	}
 	return best.Route
 }
+
+// unseenReference returns a usable upstream as a reference for target, or nil if there is none.
+func (e *Engine) unseenReference(target *Upstream, silentZone bool, now time.Time) *Upstream {
+	var pools []*pool
+	n := 0
+	for _, name := range slices.Sorted(maps.Keys(e.index.pools)) {
+		for _, p := range e.index.pools[name] {
+			if _, evacuated := e.evacuated[p.zone]; evacuated || silentZone && p.health == target.zoneHealth {
+				continue
+			}
+			pools, n = append(pools, p), n+len(p.usable.list)
+		}
+	}
+	if n == 0 {
+		return nil
+	}
+	i := int(referenceDraw(target, now, uint64(n)) % uint64(n))
+	if u := memberAt(pools, false, i); u != target {
+		return u
+	}
+	if n == 1 {
+		return nil
+	}
+	return memberAt(pools, false, (i+1)%n)
+}
+
+func referenceDraw(target *Upstream, now time.Time, salt uint64) uint64 {
+	return peer.Mix(salt ^ uint64(target.Route.ID) ^ uint64(now.UnixNano()))
+}
--- a/internal/connection/upstream/policy.go
+++ b/internal/connection/upstream/policy.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"math/rand/v2"
 
 	"github.com/fescueshed/fescueshed/internal/version/bundle"
 )
@@ -27,6 +28,22 @@
 	Choose(candidates []Candidate, seed uint64) *bundle.UpstreamRoute
 }
 
+// SamplingPolicy is a Policy that looks at a few random candidates only. With it, placing a flow
+// costs the same however many upstreams there are.
+type SamplingPolicy interface {
+	Policy
+	ChooseSampled(s Sampler, seed uint64) *bundle.UpstreamRoute
+}
+
+// Sampler finds candidates for one new flow.
+type Sampler interface {
+	// Sample returns up to n different random candidates that have free capacity, of the daemon's
+	// own zone or of all others. The slice is valid until the next call.
+	Sample(own bool, n int, rng *rand.Rand) []Candidate
+	// Utilization estimates the share of the own zone's slots that are in use.
+	Utilization() float64
+}
+
 // LeastLoaded chooses the upstream with the fewest flows per slot, counted over all members. Ties
 // are broken by the number of requests in progress, then by the seed.
 type LeastLoaded struct{}
--- a/internal/connection/upstream/zoneaware.go
+++ b/internal/connection/upstream/zoneaware.go
@@ -15,7 +15,9 @@
 type ZoneAware struct {
 	zone    bundle.Zone
 	choices int
-	sampled []int
+	source  *rand.PCG
+	rng     *rand.Rand
+	buffer  []Candidate
 }
 
 // DefaultChoices is the number of random candidates. The placements of other daemons are known half
@@ -27,7 +29,8 @@
 // NewZoneAware returns a policy for a daemon in the given zone that chooses among that many random
 // candidates.
 func NewZoneAware(zone bundle.Zone, choices int) *ZoneAware {
-	return &ZoneAware{zone: zone, choices: choices}
+	source := rand.NewPCG(0, 0)
+	return &ZoneAware{zone: zone, choices: choices, source: source, rng: rand.New(source)}
 }
 
 // warmupFlows is the number of flows by which an upstream counts as more loaded while it is slow
@@ -53,18 +56,23 @@
 
 // Choose implements Policy.
 func (z *ZoneAware) Choose(candidates []Candidate, seed uint64) *bundle.UpstreamRoute {
-	own := z.leastLoaded(candidates, seed, true)
-	utilization := z.utilization(candidates)
-	if own != nil && utilization <= spilloverUtilization && own.outstanding() < fullOutstanding {
+	return z.ChooseSampled(&listSampler{zone: z.zone, list: candidates, buffer: &z.buffer}, seed)
+}
+
+// ChooseSampled implements SamplingPolicy.
+func (z *ZoneAware) ChooseSampled(s Sampler, seed uint64) *bundle.UpstreamRoute {
+	own, ownFound := z.leastLoaded(s, seed, true)
+	utilization := s.Utilization()
+	if ownFound && utilization <= spilloverUtilization && own.outstanding() < fullOutstanding {
 		return own.Route
 	}
-	other := z.leastLoaded(candidates, seed, false)
+	other, otherFound := z.leastLoaded(s, seed, false)
 	switch {
-	case other == nil && own == nil:
+	case !otherFound && !ownFound:
 		return nil
-	case own == nil:
+	case !ownFound:
 		return other.Route
-	case other == nil || other.ZoneFlowsPerSlot < 0:
+	case !otherFound || other.ZoneFlowsPerSlot < 0:
 		return own.Route
 	case utilization > spilloverUtilization && other.ZoneFlowsPerSlot*other.RequestsPerFlow+spilloverMargin < utilization:
 		return other.Route
@@ -74,44 +82,56 @@
 	return own.Route
 }
 
-// utilization estimates the share of the own zone's slots that are in use. It covers the whole
-// zone, because the flows of a single upstream say too little.
-func (z *ZoneAware) utilization(candidates []Candidate) float64 {
-	var busy float64
-	slots := 0
-	for i := range candidates {
-		c := &candidates[i]
-		if c.Route.Zone == z.zone && c.hasCapacity() {
-			busy += float64(c.Load.Total()) * c.RequestsPerFlow
-			slots += c.Route.Slots
+// leastLoaded returns the least loaded of a few random candidates of the own zone or of the others,
+// and whether there is one.
+func (z *ZoneAware) leastLoaded(s Sampler, seed uint64, own bool) (best Candidate, found bool) {
+	z.source.Seed(seed, seed)
+	least := math.Inf(1)
+	list := s.Sample(own, z.choices, z.rng)
+	for i := range list {
+		if cost := list[i].cost(); cost < least {
+			best, least, found = list[i], cost, true
 		}
 	}
-	return busy / float64(max(1, slots))
+	return best, found
+}
+
+// listSampler is a Sampler over a list of candidates.
+type listSampler struct {
+	zone   bundle.Zone
+	list   []Candidate
+	buffer *[]Candidate
 }
 
-// leastLoaded samples candidates of the own zone or of the others by a partial shuffle and returns
-// the least loaded of them, or nil if none has free capacity.
-func (z *ZoneAware) leastLoaded(candidates []Candidate, seed uint64, own bool) *Candidate {
-	z.sampled = z.sampled[:0]
-	for i := range candidates {
-		if (candidates[i].Route.Zone == z.zone) == own && candidates[i].hasCapacity() {
-			z.sampled = append(z.sampled, i)
+// Sample implements Sampler by a partial shuffle.
+func (l *listSampler) Sample(own bool, n int, rng *rand.Rand) []Candidate {
+	out := (*l.buffer)[:0]
+	for i := range l.list {
+		if c := &l.list[i]; (c.Route.Zone == l.zone) == own && c.hasCapacity() {
+			out = append(out, *c)
 		}
 	}
-	var src rand.PCG
-	src.Seed(seed, seed)
-	rng := rand.New(&src)
-	var best *Candidate
-	least := math.Inf(1)
-	for i := range min(z.choices, len(z.sampled)) {
-		j := i + rng.IntN(len(z.sampled)-i)
-		z.sampled[i], z.sampled[j] = z.sampled[j], z.sampled[i]
-		c := &candidates[z.sampled[i]]
-		if cost := c.cost(); cost < least {
-			best, least = c, cost
+	*l.buffer = out
+	n = min(n, len(out))
+	for i := range n {
+		j := i + rng.IntN(len(out)-i)
+		out[i], out[j] = out[j], out[i]
+	}
+	return out[:n]
+}
+
+// Utilization implements Sampler. It covers the whole zone, because the flows of a single upstream
+// say too little.
+func (l *listSampler) Utilization() float64 {
+	var busy float64
+	slots := 0
+	for i := range l.list {
+		if c := &l.list[i]; c.Route.Zone == l.zone && c.hasCapacity() {
+			busy += float64(c.Load.Total()) * c.RequestsPerFlow
+			slots += c.Route.Slots
 		}
 	}
-	return best
+	return busy / float64(max(1, slots))
 }
 
 // outstanding returns how many requests to the upstream this daemon waits for, per slot.
--- a/internal/version/bundle/routing.go
+++ b/internal/version/bundle/routing.go
@@ -74,6 +74,14 @@
 	WarmupRate  float64
 }
 
+// SameSettings reports whether both services are the same apart from their addresses and upstreams, which
+// registered services don't have. It returns false if o is nil.
+func (s *ServiceRoute) SameSettings(o *ServiceRoute) bool {
+	return o != nil && s.Name == o.Name && s.VNI == o.VNI && s.Protocol == o.Protocol &&
+		s.IdleTimeout == o.IdleTimeout && s.Deadline == o.Deadline &&
+		s.HealthPath == o.HealthPath && s.Connections == o.Connections && s.WarmupRate == o.WarmupRate
+}
+
 // UpstreamRoute is an upstream as part of a Routing.
 type UpstreamRoute struct {
 	ID          UpstreamID
