membership: a daemon tracks its zone and the first of each other one, and a suspicion lasts as long as news travels

Causes: each change of one of 985 hosts was told to all others and made each of them build its view again; the queue of updates was copied for each; a suspicion expired after 0.8 s, while an update doubles its reach only once in each probe period of half a second, so a refutation reached most members late; and each joining host fetched the whole list of members with each catalog, 85 KB every half second, from parents whose link carries 2.5 MB/s, until the catalogs broke off.

Now daemons track all of their own zone and sixteen of each other one, updates are sent to two random members each 200 ms while there are any, a suspected member is told first, its time to refute grows with the logarithm of the members, and only a daemon that itself found it silent declares it dead. A view is made at most every 100 ms, its look-ups on first use. Lists of members are fetched apart from catalogs, compressed, from random members, until two in a row know the same.

--- a/internal/connection/peer/advertisement.go
+++ b/internal/connection/peer/advertisement.go
@@ -291,6 +291,8 @@
 	// reports; at 300 hosts the members alone are 50 KB.
 	Joining       bool
 	MembersDigest uint64
+	// WithoutMembers says that the requester fetches the members by MethodMembers.
+	WithoutMembers bool
 	// Zone is the zone of a requester that can't place flows yet. Instead of all members it is sent
 	// those of Membership.BootstrapMembers: callers may be waiting for it, and a small host takes
 	// longer to process 195 members than the list of upstreams.
--- a/internal/connection/peer/codec.go
+++ b/internal/connection/peer/codec.go
@@ -20,6 +20,7 @@
 	DomainAdvertisement       Domain = "fescueshed news 5\n"
 	DomainReport              Domain = "fescueshed report 3\n"
 	DomainCatalog             Domain = "fescueshed catalog 5\n"
+	DomainMemberList          Domain = "fescueshed members 1\n"
 )
 
 // checked is a pointer to a wire type that validates itself after decoding.
--- a/internal/connection/peer/gossip.go
+++ b/internal/connection/peer/gossip.go
@@ -9,6 +9,8 @@
 type gossipUpdate struct {
 	Member
 	copies int
+	// number identifies the update in its queue.
+	number uint64
 }
 
 // apply processes a claim about a member, made by the member itself or by another one.
@@ -19,7 +21,7 @@
 	}
 	r := m.peers[u.ID]
 	if r == nil {
-		if u.State == StateDead || u.State == StateLeft {
+		if u.State == StateDead || u.State == StateLeft || !m.tracks(&u) {
 			return
 		}
 		m.add(u, now)
@@ -46,6 +48,9 @@
 	}
 	r.Member = u
 	r.stateSince = now
+	if u.State == StateSuspect {
+		m.expireAt(now.Add(m.suspectTimeout()))
+	}
 	m.enqueueGossip(u)
 	m.epoch++
 	if ownersMove {
@@ -89,6 +94,7 @@
 func (m *Membership) recordLost(l Member, now time.Time) {
 	m.lost = append(m.lost, lostMember{Member: l, lostAt: now})
 	m.epoch++
+	m.expireAt(now.Add(m.cfg.LostWindow))
 }
 
 // withdrawLost removes a member from the lost ones that was only unreachable.
@@ -96,23 +102,107 @@
 	m.lost = slices.DeleteFunc(m.lost, func(l lostMember) bool { return l.ID == u.ID && l.Boot == u.Boot })
 }
 
-// enqueueGossip queues an update for the next messages. It replaces older updates about the same
-// member.
-func (m *Membership) enqueueGossip(u Member) {
-	m.gossip = slices.DeleteFunc(m.gossip, func(r gossipUpdate) bool { return r.ID == u.ID })
-	m.gossip = append([]gossipUpdate{{Member: u, copies: m.cfg.GossipCopies}}, m.gossip...)
+// gossipQueue holds the updates that are still to be sent, the newest last. Its operations take no
+// longer if more updates wait. The zero value is an empty queue.
+type gossipQueue struct {
+	list []gossipUpdate
+	// latest holds the number of the valid update about each member; older ones in list are skipped.
+	latest map[ID]uint64
+	number uint64
 }
 
-// takeGossip returns at most n updates to send and counts them as sent once more.
-func (m *Membership) takeGossip(n int) []Member {
+// add queues an update. It replaces an older update about the same member.
+func (q *gossipQueue) add(u Member, copies int) {
+	if q.latest == nil {
+		q.latest = make(map[ID]uint64)
+	}
+	q.number++
+	q.latest[u.ID] = q.number
+	q.list = append(q.list, gossipUpdate{Member: u, copies: copies, number: q.number})
+	if len(q.list) > 2*maxWaitingUpdates {
+		q.dropOldest()
+	}
+}
+
+// maxWaitingUpdates bounds the updates that wait. When more members change at the same time, the
+// lists that daemons exchange inform them sooner than gossip.
+const maxWaitingUpdates = 256
+
+// dropOldest drops the older half of the updates.
+func (q *gossipQueue) dropOldest() {
+	dropped := len(q.list) - maxWaitingUpdates
+	for _, g := range q.list[:dropped] {
+		if q.latest[g.ID] == g.number {
+			delete(q.latest, g.ID)
+		}
+	}
+	q.list = slices.Delete(q.list, 0, dropped)
+}
+
+// take returns at most n updates to send, the newest first, and counts them as sent once more.
+func (q *gossipQueue) take(n int) []Member {
 	var out []Member
-	for i := range m.gossip {
-		if len(out) == n {
-			break
+	first := len(q.list)
+	for first > 0 && len(out) < n {
+		first--
+		if g := &q.list[first]; q.latest[g.ID] == g.number {
+			out = append(out, g.Member)
+			g.copies--
+		}
+	}
+	kept := q.list[:first]
+	for _, g := range q.list[first:] {
+		switch {
+		case q.latest[g.ID] != g.number:
+		case g.copies > 0:
+			kept = append(kept, g)
+		default:
+			delete(q.latest, g.ID)
+		}
+	}
+	clear(q.list[len(kept):])
+	q.list = kept
+	return out
+}
+
+// waiting returns the number of updates that are still to be sent.
+func (q *gossipQueue) waiting() int { return len(q.latest) }
+
+// enqueueGossip queues an update for the next messages. It is sent more often in a larger fleet, so
+// that no member is likely to miss it.
+func (m *Membership) enqueueGossip(u Member) {
+	copies := m.cfg.GossipCopies
+	if m.cfg.GossipPeriod > 0 {
+		copies = max(copies, m.rounds()+extraCopies)
+	}
+	m.gossip.add(u, copies)
+}
+
+const (
+	// extraCopies is by how many copies of an update the logarithm of the number of members is
+	// exceeded: the share of members that all copies miss is e to the power of minus the copies.
+	extraCopies = 2
+	// gossipFanout is the number of members to which updates are sent in each gossip period.
+	gossipFanout = 2
+)
+
+// sendGossip returns messages with updates to random members, if any wait and it is time.
+func (m *Membership) sendGossip(now time.Time) []Envelope {
+	if m.cfg.GossipPeriod == 0 || m.gossip.waiting() == 0 || now.Before(m.nextGossip) || len(m.sortedIDs) == 0 {
+		return nil
+	}
+	m.nextGossip = now.Add(m.cfg.GossipPeriod)
+	var out []Envelope
+	for range gossipFanout {
+		if r := m.peers[m.sortedIDs[m.rng.IntN(len(m.sortedIDs))]]; r.present() {
+			out = append(out, m.envelope(r.Control, KindGossip, 0))
 		}
-		out = append(out, m.gossip[i].Member)
-		m.gossip[i].copies--
 	}
-	m.gossip = slices.DeleteFunc(m.gossip, func(r gossipUpdate) bool { return r.copies <= 0 })
 	return out
 }
+
+// UpdatesWaiting returns the number of updates about members that this daemon has still to send.
+func (m *Membership) UpdatesWaiting() int { return m.gossip.waiting() }
+
+// takeGossip returns at most n updates to send and counts them as sent once more.
+func (m *Membership) takeGossip(n int) []Member { return m.gossip.take(n) }
--- a/internal/connection/peer/membership.go
+++ b/internal/connection/peer/membership.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math/bits"
 	"math/rand/v2"
 	"net/netip"
 	"slices"
@@ -18,7 +19,7 @@
 	// helpers, and again before it suspects the member.
 	ProbeTimeout time.Duration
 	// SuspectTimeout is how long a suspected member may refute the suspicion before it is declared
-	// dead.
+	// dead, if there are few members. See Membership.suspectTimeout.
 	SuspectTimeout time.Duration
 	// Helpers is how many other members are asked to probe a member that didn't acknowledge.
 	Helpers int
@@ -28,8 +29,15 @@
 	// RecentWindow is how long after a change records are looked up at all members that may hold
 	// them.
 	RecentWindow time.Duration
-	// GossipCopies is how many times each update is sent.
+	// GossipCopies is how many times each update is sent, at least.
 	GossipCopies int
+	// GossipPeriod is the time between two messages that carry nothing but updates, while there are
+	// any. If it is zero, updates travel with probes only, which is too slow for hundreds of members.
+	GossipPeriod time.Duration
+	// TrackedPerOtherZone is how many members of each other zone the daemon tracks: the first in
+	// reader order. The cost of the membership then grows with the daemon's own zone only. If it is
+	// zero, the daemon tracks all.
+	TrackedPerOtherZone int
 	// Updates is how many updates one message carries, at most MaxUpdates. While no member joins or
 	// leaves there are no updates to carry, so a larger value costs bytes only during changes.
 	Updates int
@@ -97,7 +105,7 @@
 	// seed give the same messages. It is replaced, never changed in place.
 	sortedIDs       []ID
 	lost            []lostMember
-	gossip          []gossipUpdate
+	gossip          gossipQueue
 	probe           probe
 	delegatedProbes map[uint32]delegatedProbe
 	seq             uint32
@@ -108,7 +116,10 @@
 	// repeatsPossible is true for LostWindow after such a change.
 	repeatsPossible bool
 	nextProbe       time.Time
-	epoch           uint64
+	nextGossip      time.Time
+	// nextExpiry is when expire has to look at the members, zero if nothing expires.
+	nextExpiry time.Time
+	epoch      uint64
 	// servingSeen is set once a message of a member that has a bundle in force was received.
 	servingSeen bool
 }
@@ -121,6 +132,8 @@
 	// recentlyJoined is true for RecentWindow after the member joined or restarted.
 	recentlyJoined bool
 	joinedAt       time.Time
+	// silentSince is when this daemon last found that the member doesn't answer its probe.
+	silentSince time.Time
 }
 
 // lostMember is a member that died without handing over its records.
@@ -204,6 +217,7 @@
 func (m *Membership) Tick(now time.Time) []Envelope {
 	out := m.continueProbe(now)
 	m.expire(now)
+	out = append(out, m.sendGossip(now)...)
 	if now.Before(m.nextProbe) {
 		return out
 	}
@@ -218,47 +232,92 @@
 	return out
 }
 
-// expire declares suspected members dead after SuspectTimeout and removes entries whose window has
-// passed.
+// expire declares suspected members dead after suspectTimeout and removes entries whose window has
+// passed. It looks at the members only when the first of these times has come.
 func (m *Membership) expire(now time.Time) {
-	for _, id := range m.sortedIDs {
-		r := m.peers[id]
-		age := now.Sub(r.stateSince)
-		switch {
-		case r.State == StateSuspect && age >= m.cfg.SuspectTimeout:
-			dead := r.Member
-			dead.State = StateDead
-			m.apply(dead, now)
-		case r.State == StateLeft && age >= m.cfg.LostWindow, r.State == StateDead && age >= forgetDeadAfter:
-			m.forget(id)
-		}
-	}
 	for seq, r := range m.delegatedProbes {
 		if now.Sub(r.sentAt) > 2*m.cfg.ProbeTimeout {
 			delete(m.delegatedProbes, seq)
 		}
 	}
-	for _, r := range m.peers {
-		if r.recentlyJoined && now.Sub(r.joinedAt) >= m.cfg.RecentWindow {
-			r.recentlyJoined = false
-			m.epoch++
-		}
+	if m.nextExpiry.IsZero() || now.Before(m.nextExpiry) {
+		return
+	}
+	m.nextExpiry = time.Time{}
+	for _, id := range m.sortedIDs {
+		m.expirePeer(m.peers[id], now)
 	}
 	n := len(m.lost)
-	m.lost = slices.DeleteFunc(m.lost, func(l lostMember) bool { return now.Sub(l.lostAt) >= m.cfg.LostWindow })
+	m.lost = slices.DeleteFunc(m.lost, func(l lostMember) bool { return !m.expiresLater(l.lostAt, m.cfg.LostWindow, now) })
 	if len(m.lost) != n {
 		m.epoch++
 	}
-	if m.repeatsPossible && now.Sub(m.changedAt) >= m.cfg.LostWindow {
+	if m.repeatsPossible && !m.expiresLater(m.changedAt, m.cfg.LostWindow, now) {
 		m.repeatsPossible = false
 		m.epoch++
 	}
-	if !m.changedAt.IsZero() && now.Sub(m.changedAt) >= m.cfg.RecentWindow {
+	if !m.changedAt.IsZero() && !m.expiresLater(m.changedAt, m.cfg.RecentWindow, now) {
 		m.changedAt = time.Time{}
 		m.epoch++
 	}
 }
 
+// expirePeer does what expire does for one member.
+func (m *Membership) expirePeer(r *peerState, now time.Time) {
+	switch {
+	case r.State == StateSuspect && !m.expiresLater(r.stateSince, m.suspectTimeout(), now) && m.mayDeclareDead(r):
+		dead := r.Member
+		dead.State = StateDead
+		m.apply(dead, now)
+	case r.State == StateLeft && !m.expiresLater(r.stateSince, m.cfg.LostWindow, now),
+		r.State == StateDead && !m.expiresLater(r.stateSince, forgetDeadAfter, now):
+		m.forget(r.ID)
+	}
+	if r.recentlyJoined && !m.expiresLater(r.joinedAt, m.cfg.RecentWindow, now) {
+		r.recentlyJoined = false
+		m.epoch++
+	}
+}
+
+// mayDeclareDead reports whether this daemon declares a member dead that was suspected for long
+// enough. In a large fleet only a daemon does so that has itself found the member silent: while many
+// members change at the same time, a refutation may reach some daemons later than the suspicion.
+func (m *Membership) mayDeclareDead(r *peerState) bool {
+	return m.cfg.GossipPeriod == 0 || !r.silentSince.Before(r.stateSince)
+}
+
+// expiresLater reports whether the window that began at a time ends after now. If so, expire looks
+// again when it has ended.
+func (m *Membership) expiresLater(began time.Time, window time.Duration, now time.Time) bool {
+	ends := began.Add(window)
+	if !ends.After(now) {
+		return false
+	}
+	m.expireAt(ends)
+	return true
+}
+
+// expireAt makes expire look at the members at a time.
+func (m *Membership) expireAt(t time.Time) {
+	if m.nextExpiry.IsZero() || t.Before(m.nextExpiry) {
+		m.nextExpiry = t
+	}
+}
+
+// suspectTimeout returns how long a suspected member may refute the suspicion. An update reaches all
+// members after a number of gossip periods that grows with the logarithm of their number, and so
+// does the refutation. After a constant time, live members of a large fleet would be declared dead.
+func (m *Membership) suspectTimeout() time.Duration {
+	return max(m.cfg.SuspectTimeout, time.Duration(suspectRounds*m.rounds())*m.cfg.GossipPeriod)
+}
+
+// suspectRounds is how many times the number of gossip periods in which an update reaches all
+// members must pass.
+const suspectRounds = 2
+
+// rounds returns the logarithm to base 2 of the number of members, rounded up.
+func (m *Membership) rounds() int { return bits.Len(uint(len(m.peers))) }
+
 // Receive handles a message that was sent from the control address from, and returns the messages
 // to send.
 func (m *Membership) Receive(now time.Time, from netip.AddrPort, msg *Message) []Envelope {
@@ -312,13 +371,14 @@
 		case u.ID == m.self.ID:
 		case m.peers[u.ID] != nil:
 			m.apply(*u, now)
-		case u.present():
+		case u.present() && m.tracks(u):
 			m.peers[u.ID] = newPeerState(*u, now)
 			added = true
 		}
 	}
 	if added {
 		m.sortIDs()
+		m.untrackSurplus()
 		m.markChanged(now)
 	}
 }
@@ -403,14 +463,15 @@
 	m.changedAt = now
 	m.repeatsPossible = true
 	m.epoch++
+	m.expireAt(now.Add(min(m.cfg.LostWindow, m.cfg.RecentWindow)))
 }
 
-// acknowledge returns the acknowledgement of a ping. If the sender joined recently, it carries the
-// members from which the sender can request more.
+// acknowledge returns the acknowledgement of a ping. If the sender joined recently, or isn't tracked
+// here, it carries the members from which the sender can request more.
 func (m *Membership) acknowledge(to netip.AddrPort, ping *Message, now time.Time) Envelope {
 	var known []Member
-	if r := m.peers[ping.From.ID]; r != nil && now.Sub(r.joinedAt) < bootstrapWindow {
-		known = m.BootstrapMembers(r.Zone, r.ID)
+	if r := m.peers[ping.From.ID]; r == nil || now.Sub(r.joinedAt) < bootstrapWindow {
+		known = m.BootstrapMembers(ping.From.Zone, ping.From.ID)
 		known = known[:min(len(known), m.cfg.Updates)]
 	}
 	return m.envelopeWith(to, KindAck, ping.Seq, known)
@@ -441,12 +502,18 @@
 
 func (m *Membership) add(u Member, now time.Time) {
 	m.peers[u.ID] = newPeerState(u, now)
-	m.sortIDs()
+	i, _ := slices.BinarySearch(m.sortedIDs, u.ID)
+	m.sortedIDs = slices.Insert(slices.Clip(m.sortedIDs), i, u.ID)
+	if u.Zone != m.self.Zone {
+		m.untrackSurplus()
+	}
 }
 
 func (m *Membership) forget(id ID) {
 	delete(m.peers, id)
-	m.sortIDs()
+	if i, found := slices.BinarySearch(m.sortedIDs, id); found {
+		m.sortedIDs = slices.Concat(m.sortedIDs[:i], m.sortedIDs[i+1:])
+	}
 }
 
 func (m *Membership) sortIDs() {
--- a/internal/connection/peer/membership_test.go
+++ b/internal/connection/peer/membership_test.go
@@ -165,3 +165,49 @@
 		})
 	}
 })
+
+// meet makes all members of a network know each other.
+func meet(w *links.Network) {
+	hosts := make([]peer.Member, 0, len(w.Members))
+	for _, m := range w.Members {
+		hosts = append(hosts, m.Self())
+	}
+	for _, m := range w.Members {
+		m.Merge(w.Now, hosts)
+	}
+}
+
+var _ = Describe("Membership of a large fleet", func() {
+	cfg := peer.Config{
+		ProbePeriod: 500 * time.Millisecond, GossipPeriod: 200 * time.Millisecond, Updates: peer.MaxUpdates,
+	}
+
+	// Guards against live members that are declared dead because a suspicion expires before its
+	// refutation has reached all members: small hosts answer late when they start, and each change
+	// of a member costs all others work, which makes them answer late too.
+	It("declares no live member dead that answers late at times, however many members there are", func() {
+		for _, n := range []int{40, 400} {
+			w := links.NewWithConfig(n, 1, cfg)
+			meet(w)
+			for range 16 {
+				for range n / 20 {
+					w.Members[w.Rng.IntN(n)].PausedUntil = w.Now.Add(300 * time.Millisecond)
+				}
+				w.Run(500 * time.Millisecond)
+			}
+			for _, m := range w.Members {
+				Expect(m.View().Lost).To(BeEmpty(), "%d members", n)
+			}
+		}
+	})
+
+	It("detects a dead member within a time that grows with the logarithm of the members", func() {
+		for n, bound := range map[int]time.Duration{40: 4 * time.Second, 400: 8 * time.Second} {
+			w := links.NewWithConfig(n, 2, cfg)
+			meet(w)
+			w.Run(time.Second)
+			w.Members[n/2].Running = false
+			Expect(w.RunUntil(bound, w.Converged)).To(BeNumerically("<", bound), "%d members", n)
+		}
+	})
+})
--- a/internal/connection/peer/message.go
+++ b/internal/connection/peer/message.go
@@ -18,6 +18,8 @@
 	KindAck
 	// KindPingRequest requests that the receiver pings Target on behalf of the sender.
 	KindPingRequest
+	// KindGossip carries updates only. It isn't answered.
+	KindGossip
 	kindEnd
 )
 
--- a/internal/connection/peer/packed.go
+++ b/internal/connection/peer/packed.go
@@ -12,48 +12,71 @@
 	"github.com/fescueshed/fescueshed/internal/version/bundle"
 )
 
-// PackedUpdate is a bundle.Update as daemons send it: CBOR (RFC 8949), compressed by DEFLATE (RFC
-// 1951). Routes resemble each other, so a whole bundle compresses to a small part of its size.
-type PackedUpdate []byte
+// Packed is a value as daemons send it: CBOR (RFC 8949), compressed by DEFLATE (RFC 1951). Routes,
+// upstreams and members resemble each other, so a list compresses to a small part of its size.
+type Packed[T any] []byte
 
-// maxUnpackedBytes bounds the size of an unpacked update. It allows for a bundle of the
-// largest object that the store accepts, in its most verbose form.
+// PackedUpdate is a bundle.Update as daemons send it.
+type PackedUpdate = Packed[*bundle.Update]
+
+// maxUnpackedBytes bounds the size of an unpacked value. It allows for a bundle of the largest
+// object that the store accepts, in its most verbose form.
 const maxUnpackedBytes = 8 << 20
 
-// PackUpdate encodes and compresses an update.
-func PackUpdate(u *bundle.Update) (PackedUpdate, error) {
-	src, err := cbor.Marshal(u)
+// Pack encodes and compresses a value.
+func Pack[T any](v T) (Packed[T], error) {
+	src, err := cbor.Marshal(v)
 	if err != nil {
 		return nil, eris.Wrap(err, "peer: pack")
 	}
 	var out bytes.Buffer
-	w, err := flate.NewWriter(&out, flate.BestSpeed)
-	if err == nil {
-		_, err = w.Write(src)
-	}
+	w := writers.Get().(*flate.Writer)
+	defer writers.Put(w)
+	w.Reset(&out)
+	_, err = w.Write(src)
 	if err == nil {
 		err = w.Close()
 	}
 	return out.Bytes(), eris.Wrap(err, "peer: pack")
 }
 
-// Unpack decodes what PackUpdate returned. It returns ErrMessage if the result is larger than
+// writers holds compressors, each of which takes a megabyte.
+var writers = sync.Pool{New: func() any {
+	w, err := flate.NewWriter(nil, flate.BestSpeed)
+	if err != nil {
+		panic(err) // The level is valid.
+	}
+	return w
+}}
+
+// readers holds decompressors.
+var readers = sync.Pool{New: func() any { return flate.NewReader(nil) }}
+
+// PackUpdate encodes and compresses an update.
+func PackUpdate(u *bundle.Update) (PackedUpdate, error) { return Pack(u) }
+
+// Unpack decodes what Pack returned. It returns ErrMessage if the result is larger than
 // maxUnpackedBytes.
-func (p PackedUpdate) Unpack() (*bundle.Update, error) {
-	r := flate.NewReader(bytes.NewReader(p))
-	src, err := io.ReadAll(io.LimitReader(r, maxUnpackedBytes+1))
+func (p Packed[T]) Unpack() (T, error) {
+	var out T
+	r := readers.Get().(io.ReadCloser)
+	defer readers.Put(r)
+	err := r.(flate.Resetter).Reset(bytes.NewReader(p), nil)
+	var src []byte
+	if err == nil {
+		src, err = io.ReadAll(io.LimitReader(r, maxUnpackedBytes+1))
+	}
 	if err == nil && len(src) > maxUnpackedBytes {
 		err = ErrMessage
 	}
 	if err != nil {
-		return nil, eris.Wrap(err, "peer: unpack")
+		return out, eris.Wrap(err, "peer: unpack")
 	}
 	dec, err := decMode()
 	if err != nil {
-		return nil, err
+		return out, err
 	}
-	u := new(bundle.Update)
-	return u, eris.Wrap(dec.Unmarshal(src, u), "peer: unpack")
+	return out, eris.Wrap(dec.Unmarshal(src, &out), "peer: unpack")
 }
 
 // Packer packs each update once, however many members request it: 57 simultaneous requests would
--- a/internal/connection/peer/probe.go
+++ b/internal/connection/peer/probe.go
@@ -41,12 +41,17 @@
 		return m.requestIndirectProbes(r)
 	}
 	m.probe = probe{}
-	if r.State == StateAlive || r.State == StateLeaving {
-		suspect := r.Member
-		suspect.State = StateSuspect
-		m.apply(suspect, now)
+	r.silentSince = now
+	if r.State != StateAlive && r.State != StateLeaving {
+		m.expireAt(now)
+		return nil
 	}
-	return nil
+	suspect := r.Member
+	suspect.State = StateSuspect
+	m.apply(suspect, now)
+	// The suspicion is the newest update, so the member itself is the first to receive it: it need
+	// not wait for the gossip of others to refute it.
+	return []Envelope{m.ping(r.Control)}
 }
 
 func (m *Membership) requestIndirectProbes(target *peerState) []Envelope {
--- a/internal/connection/peer/reader.go
+++ b/internal/connection/peer/reader.go
@@ -15,7 +15,12 @@
 // zone. Larger hosts come first, since the reader also bears the cost of sending to others, and
 // leaving daemons come last.
 func (v *View) ReaderRank() int {
-	self := v.byID[v.Self]
+	v.rankOnce.Do(func() { v.rank = v.readerRank() })
+	return v.rank
+}
+
+func (v *View) readerRank() int {
+	self := v.Member(v.Self)
 	if self == nil {
 		return 0
 	}
@@ -34,7 +39,7 @@
 // IsZoneReader reports whether this daemon is the first of its zone, which receives what the reader
 // of all zones advertises and sends it to its zone.
 func (v *View) IsZoneReader() bool {
-	self := v.byID[v.Self]
+	self := v.Member(v.Self)
 	return self == nil || v.zoneRank(self) == 0
 }
 
@@ -52,7 +57,7 @@
 // RanksBefore reports whether the daemon id comes before this one in reader order. It returns false
 // for a daemon that isn't known.
 func (v *View) RanksBefore(id ID) bool {
-	self, o := v.byID[v.Self], v.byID[id]
+	self, o := v.Member(v.Self), v.Member(id)
 	return self != nil && o != nil && compareReaders(o, self) < 0
 }
 
@@ -70,7 +75,7 @@
 // daemon itself isn't a member.
 func (v *View) zoneInReaderOrder() []*Member {
 	v.ownZoneOnce.Do(func() {
-		self := v.byID[v.Self]
+		self := v.Member(v.Self)
 		if self == nil {
 			return
 		}
@@ -86,7 +91,12 @@
 
 // OtherZoneReaders returns the zone reader of each other zone, in reader order.
 func (v *View) OtherZoneReaders() []*Member {
-	self := v.byID[v.Self]
+	v.otherReadersOnce.Do(func() { v.otherReaders = v.findOtherZoneReaders() })
+	return slices.Clip(v.otherReaders)
+}
+
+func (v *View) findOtherZoneReaders() []*Member {
+	self := v.Member(v.Self)
 	if self == nil {
 		return nil
 	}
--- a/internal/connection/peer/view.go
+++ b/internal/connection/peer/view.go
@@ -32,11 +32,17 @@
 	// identifiers in the same order. Owner reads both for each packet.
 	staying    []int32
 	stayingIDs []uint64
-	byID       map[ID]*Member
-	byAddr     map[netip.Addr]*Member
-	// ownZone is computed on first use, see zoneInReaderOrder.
-	ownZoneOnce sync.Once
-	ownZone     []*Member
+	// The fields below are computed on first use: a view of a thousand members is replaced several
+	// times a second while they start. See lookup, zoneInReaderOrder, OtherZoneReaders, ReaderRank.
+	lookupOnce       sync.Once
+	byID             map[ID]*Member
+	byAddr           map[netip.Addr]*Member
+	ownZoneOnce      sync.Once
+	ownZone          []*Member
+	otherReadersOnce sync.Once
+	otherReaders     []*Member
+	rankOnce         sync.Once
+	rank             int
 }
 
 // Changes describes the recent changes of the membership.
@@ -64,13 +70,9 @@
 		Self:    self,
 		Members: members,
 		Changes: c,
-		byID:    make(map[ID]*Member, len(members)),
-		byAddr:  make(map[netip.Addr]*Member, len(members)),
 	}
 	for i := range members {
 		m := &members[i]
-		v.byID[m.ID] = m
-		v.byAddr[m.Data.Addr()] = m
 		v.addZone(m.Zone)
 		if m.State != StateLeaving {
 			v.staying = append(v.staying, int32(i))
@@ -80,6 +82,19 @@
 	return v
 }
 
+// lookup fills the maps of members.
+func (v *View) lookup() {
+	v.lookupOnce.Do(func() {
+		v.byID = make(map[ID]*Member, len(v.Members))
+		v.byAddr = make(map[netip.Addr]*Member, len(v.Members))
+		for i := range v.Members {
+			m := &v.Members[i]
+			v.byID[m.ID] = m
+			v.byAddr[m.Data.Addr()] = m
+		}
+	})
+}
+
 func (v *View) addZone(z bundle.Zone) {
 	if !slices.Contains(v.zones, z) {
 		v.zones = append(v.zones, z)
@@ -93,10 +108,16 @@
 }
 
 // Member returns the member with the identifier, or nil.
-func (v *View) Member(id ID) *Member { return v.byID[id] }
+func (v *View) Member(id ID) *Member {
+	v.lookup()
+	return v.byID[id]
+}
 
 // MemberAt returns the member that sends Geneve packets from a, or nil.
-func (v *View) MemberAt(a netip.Addr) *Member { return v.byAddr[a] }
+func (v *View) MemberAt(a netip.Addr) *Member {
+	v.lookup()
+	return v.byAddr[a]
+}
 
 // Owner returns the member that decides for a flow: the highest ranked of the members that aren't
 // leaving. If all are leaving, it is the highest ranked of these.
@@ -142,7 +163,7 @@
 // IsWatcher reports whether this daemon is among the first n members of its zone, by identifier.
 // These watch the platform on behalf of all.
 func (v *View) IsWatcher(n int) bool {
-	self := v.byID[v.Self]
+	self := v.Member(v.Self)
 	if self == nil {
 		return true
 	}
@@ -158,7 +179,7 @@
 
 // IsReplica reports whether this daemon holds its zone's copy of a flow's record.
 func (v *View) IsReplica(h FlowHash, owner ID) bool {
-	self := v.byID[v.Self]
+	self := v.Member(v.Self)
 	if self == nil {
 		return true
 	}
--- a/internal/process/cookiedaemon/catalog.go
+++ b/internal/process/cookiedaemon/catalog.go
@@ -21,9 +21,9 @@
 	// pullTimeout is how long another daemon may take to begin its answer to a request for its
 	// catalog.
 	pullTimeout = time.Second
-	// pullPause is the mean pause after a fetch, urgentPause the pause after an urgent one. Without
-	// them, a member that receives different lists from two store readers would saturate the link
-	// of a small host.
+	// pullPause is the mean pause after a fetch, urgentPause the pause after an urgent one or one
+	// that took only the changes that were missing. Without them, a member that receives different
+	// lists from two store readers would saturate the link of a small host.
 	pullPause   = 500 * time.Millisecond
 	urgentPause = 100 * time.Millisecond
 	// minJoinSlots is how many starting daemons a small host serves a catalog to at the same time,
@@ -48,20 +48,22 @@
 	}
 	m.wg.Go(func() {
 		defer m.fetching.Store(false)
-		if err := m.fetch(from, pullTimeout); err != nil {
+		partial, err := m.fetch(from, pullTimeout, false)
+		if err != nil {
 			klog.V(1).InfoS("Catalog not fetched", "From", from, "Error", err)
 		}
 		pause := pullPause/2 + rand.N(pullPause)
-		if urgent {
+		if urgent || partial {
 			pause = urgentPause
 		}
 		sleep(m.ctx, pause)
 	})
 }
 
-// fetch requests from another daemon what this one lacks: a newer bundle, changed upstreams,
-// members, and deregistered upstreams. timeout bounds the time until the answer begins.
-func (m *members) fetch(from netip.AddrPort, timeout time.Duration) error {
+// fetch requests from another daemon what this one lacks: a newer bundle, changed upstreams and, if
+// joining is set, the first members to contact and deregistered upstreams. timeout bounds the time
+// until the answer begins. It reports whether the answer held changes of the list only.
+func (m *members) fetch(from netip.AddrPort, timeout time.Duration, joining bool) (partial bool, err error) {
 	sent := time.Now()
 	d := m.daemon
 	d.mu.Lock()
@@ -70,16 +72,17 @@
 		params.Version = d.state.history.Current().Version
 	}
 	d.mu.Unlock()
-	params.Joining = sent.Sub(d.started) < JoinDuration
+	params.Joining = joining
 	if !d.start.ready.isSet() {
 		params.Zone = d.cfg.Load().Zone
 	}
 	m.mu.Lock()
 	params.MembersDigest = m.membership.Digest()
 	m.mu.Unlock()
+	params.WithoutMembers = params.Zone == ""
 	got, err := m.requestCatalog(from, params, timeout)
 	if err != nil {
-		return err
+		return false, err
 	}
 	now := time.Now()
 	m.update(func(g *peer.Membership) []peer.Envelope {
@@ -89,7 +92,7 @@
 	if len(got.Update) > 0 {
 		u, err := got.Update.Unpack()
 		if err != nil {
-			return err
+			return false, err
 		}
 		d.applyUpdate(u, contentSource{source: "Peer", name: from.String(), age: got.Age})
 	}
@@ -99,7 +102,7 @@
 	origin := d.lastOrigin
 	d.mu.Unlock()
 	m.relayAdvertisement(origin, now)
-	return nil
+	return got.HasChanges, nil
 }
 
 // requestCatalog requests a catalog from another daemon. It logs an answer that breaks off with the
@@ -193,6 +196,9 @@
 
 // handleRPC answers requests of other daemons for this daemon's catalog.
 func (m *members) handleRPC(_ context.Context, _ *jsonrpc2.Conn, r *jsonrpc2.Request) (any, error) {
+	if r.Method == peer.MethodMembers {
+		return m.answerMembers(r)
+	}
 	if r.Method != peer.MethodCatalog {
 		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "unknown method " + r.Method}
 	}
@@ -211,7 +217,7 @@
 		}
 	}
 	out, update := m.daemon.catalogFor(params)
-	if params.Joining {
+	if params.Joining && !params.WithoutMembers {
 		out.Members = m.membersFor(&params)
 	}
 	if update != nil {
--- a/internal/process/cookiedaemon/members.go
+++ b/internal/process/cookiedaemon/members.go
@@ -4,7 +4,6 @@
 	"context"
 	"math/rand/v2"
 	"net/netip"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -32,12 +31,13 @@
 	daemon *Daemon
 	ctx    context.Context
 	ports  *udpport.Ports
-	// swim, advertisements, reports and catalog encode and decode the messages between daemons:
-	// those of the membership, advertisements, reports and catalogs.
+	// swim, advertisements, reports, catalog and memberLists encode and decode the messages between
+	// daemons: those of the membership, advertisements, reports, catalogs and lists of members.
 	swim           *peer.SequencedCodec[peer.Message, *peer.Message]
 	advertisements *peer.SequencedCodec[peer.Advertisement, *peer.Advertisement]
 	reports        *peer.SequencedCodec[peer.Report, *peer.Report]
 	catalog        *peer.Codec[peer.Catalog, *peer.Catalog]
+	memberLists    *peer.Codec[peer.MemberList, *peer.MemberList]
 	loads          *zoneLoads
 	changes        *memberLog
 	wg             sync.WaitGroup
@@ -59,8 +59,9 @@
 	// mu guards the fields below.
 	mu         sync.Mutex
 	membership *peer.Membership
-	// viewEpoch is the Epoch of membership that view shows.
+	// viewEpoch is the Epoch of membership that view shows, viewAt when it was made.
 	viewEpoch uint64
+	viewAt    time.Time
 	// nextSeed is when the seeds are contacted next.
 	nextSeed time.Time
 	// seedPeriod is the pause after the next request to the seeds.
@@ -85,6 +86,14 @@
 	connectedSeedPeriod = 20 * time.Second
 )
 
+// gossipPeriod is the time between two messages with updates about members, while there are any. An
+// update reaches a thousand daemons in ten periods. trackedPerOtherZone is how many daemons of each
+// other zone are tracked: enough to stand in for those that fail together.
+const (
+	gossipPeriod        = 200 * time.Millisecond
+	trackedPerOtherZone = 16
+)
+
 // milliCores is the unit of peer.Member.Size.
 const milliCores = 1000
 
@@ -116,7 +125,10 @@
 		Size:        uint32(cfg.CPUShare * milliCores),
 	}
 	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	m.membership = peer.NewMembership(peer.Config{ProbePeriod: time.Duration(cfg.ProbePeriod), Updates: peer.MaxUpdates}, self, rng)
+	m.membership = peer.NewMembership(peer.Config{
+		ProbePeriod: time.Duration(cfg.ProbePeriod), GossipPeriod: gossipPeriod,
+		TrackedPerOtherZone: trackedPerOtherZone, Updates: peer.MaxUpdates,
+	}, self, rng)
 	m.view.Store(m.membership.View())
 	d.members = m
 	ctx, cancel := context.WithCancel(ctx)
@@ -124,6 +136,7 @@
 	ports.Start(m.handleDatagram)
 	m.tick(d.started)
 	m.wg.Go(func() { m.join(ctx) })
+	m.wg.Go(func() { m.synchronizeMembers(ctx) })
 	m.wg.Go(func() { m.serve(ctx) })
 	m.wg.Go(func() { m.logReady(ctx) })
 	return func() {
@@ -160,11 +173,15 @@
 	if m.reports, err = peer.NewSequencedCodec[peer.Report](k, peer.DomainReport); err != nil {
 		return err
 	}
-	m.catalog, err = peer.NewCodec[peer.Catalog](k.Seal, peer.DomainCatalog)
-	if err == nil {
-		m.catalog.SetKeys(k)
+	if m.catalog, err = peer.NewCodec[peer.Catalog](k.Seal, peer.DomainCatalog); err != nil {
+		return err
 	}
-	return err
+	if m.memberLists, err = peer.NewCodec[peer.MemberList](k.Seal, peer.DomainMemberList); err != nil {
+		return err
+	}
+	m.catalog.SetKeys(k)
+	m.memberLists.SetKeys(k)
+	return nil
 }
 
 // setKeys replaces the secrets shared by the daemons.
@@ -173,6 +190,7 @@
 	m.advertisements.SetKeys(k)
 	m.reports.SetKeys(k)
 	m.catalog.SetKeys(k)
+	m.memberLists.SetKeys(k)
 }
 
 // handleDatagram handles a datagram of another daemon, whose first byte is the protocol.
@@ -243,21 +261,31 @@
 	}
 }
 
+const (
+	// viewPeriod is the least time between two views of more than smallMembership members. The time
+	// to make a view grows with their number, and so does the number of changes while they start.
+	viewPeriod      = memberTickPeriod
+	smallMembership = 32
+)
+
 // update changes the membership by f, publishes a changed view, and sends the messages that f
-// returns.
+// returns. A view that isn't due yet is published by tick.
 func (m *members) update(f func(g *peer.Membership) []peer.Envelope) {
 	m.mu.Lock()
 	out := f(m.membership)
 	var view, old *peer.View
+	now := time.Now()
 	if e := m.membership.Epoch(); e != m.viewEpoch {
-		m.viewEpoch = e
 		old = m.view.Load()
-		view = m.membership.View()
-		m.view.Store(view)
+		if len(old.Members) <= smallMembership || now.Sub(m.viewAt) >= viewPeriod {
+			m.viewEpoch, m.viewAt = e, now
+			view = m.membership.View()
+			m.view.Store(view)
+		}
 	}
 	m.mu.Unlock()
 	if view != nil {
-		m.changes.changed(old, view, time.Now())
+		m.changes.changed(old, view, now)
 		if len(old.Members) == 1 && len(view.Members) > 1 {
 			select {
 			case m.firstMemberMet <- struct{}{}:
@@ -276,46 +304,40 @@
 	}
 }
 
-// joinFetchTimes are the times after the start at which a catalog is fetched from another daemon.
-// Gossip alone takes ten seconds to inform 78 daemons that start together of each other; by the
-// second time each has asked a seed.
+// joinFetchTimes are the times after the start at which a catalog is fetched from another daemon,
+// with the deregistered upstreams that only a joining daemon is sent.
 var joinFetchTimes = [...]time.Duration{400 * time.Millisecond, 1500 * time.Millisecond, 4 * time.Second}
 
 // JoinDuration is the time after the start by which the last of these fetches is over.
 const JoinDuration = 6 * time.Second
 
-// join fetches the catalogs of others: the bundle, upstreams and members.
+// join fetches the catalogs of others: the bundle and upstreams.
 func (m *members) join(ctx context.Context) {
 	m.bootstrap(ctx)
 	for _, after := range joinFetchTimes {
 		sleep(ctx, after/2+rand.N(after)-time.Since(m.daemon.started))
 		if to := m.anyMember(); to.IsValid() && ctx.Err() == nil {
-			m.pull(to, false)
+			if _, err := m.fetch(to, pullTimeout, true); err != nil {
+				klog.V(1).InfoS("Catalog not fetched while joining", "From", to, "Error", err)
+			}
 		}
 	}
 }
 
-// anyMember returns the control address, which is the RPC address too, of a random seed that is a
-// member, or else of a random member. It is invalid if there is no other member.
+// anyMember returns the control address, which is the RPC address too, of a random other member. It
+// is invalid if there is none. Members that all daemons know, such as the seeds, would be asked by
+// all of them.
 func (m *members) anyMember() netip.AddrPort {
 	v := m.view.Load()
-	var seeds, others []netip.AddrPort
-	for i := range v.Members {
-		o := &v.Members[i]
-		switch {
-		case o.ID == v.Self:
-		case slices.Contains(m.daemon.cfg.Load().Seeds, o.Control):
-			seeds = append(seeds, o.Control)
-		default:
-			others = append(others, o.Control)
-		}
+	others := len(v.Members) - 1
+	if others < 1 {
+		return netip.AddrPort{}
 	}
-	for _, list := range [][]netip.AddrPort{seeds, others} {
-		if len(list) > 0 {
-			return list[rand.IntN(len(list))]
-		}
+	i := rand.IntN(others)
+	if v.Members[i].ID == v.Self {
+		i = others
 	}
-	return netip.AddrPort{}
+	return v.Members[i].Control
 }
 
 // memberInOtherZone returns the control address, which is the RPC address too, of a random member of
--- a/internal/standin/emulator/fleet.go
+++ b/internal/standin/emulator/fleet.go
@@ -53,6 +53,9 @@
 	CatchUpTimes []time.Duration
 	// StoreReaders is the number of hosts that read the store at the end.
 	StoreReaders int
+	// Messages counts datagrams between hosts, MembersSent the members in the lists that they
+	// exchanged, and MostTracked is the largest number of members that a host tracks at the end.
+	Messages, MembersSent, MostTracked int
 }
 
 // Parameters of the model. largeShare and smallShare are the hosts' shares of a core, in
@@ -62,19 +65,23 @@
 // storeEntryWork for each upstream in an answer of the store, and catalogEntryWork for each entry of
 // a list that another host sends.
 const (
-	largeShare       = 800
-	smallShare       = 61
-	startSpread      = 300 * time.Millisecond
-	fleetDelay       = 500 * time.Microsecond
-	storeLatency     = 4 * time.Millisecond
-	messageWork      = 100 * time.Microsecond
-	callWork         = 1200 * time.Microsecond
-	storeEntryWork   = 10 * time.Microsecond
-	catalogEntryWork = 2 * time.Microsecond
-	fleetTick        = 100 * time.Millisecond
-	fleetPollPeriod  = 20 * time.Millisecond
-	fleetSeeds       = 3
-	watchWait        = 800 * time.Millisecond
+	largeShare        = 800
+	smallShare        = 61
+	startSpread       = 300 * time.Millisecond
+	fleetDelay        = 500 * time.Microsecond
+	storeLatency      = 4 * time.Millisecond
+	messageWork       = 100 * time.Microsecond
+	callWork          = 1200 * time.Microsecond
+	storeEntryWork    = 10 * time.Microsecond
+	catalogEntryWork  = 2 * time.Microsecond
+	fleetTick         = 100 * time.Millisecond
+	fleetPollPeriod   = 20 * time.Millisecond
+	fleetGossipPeriod = 200 * time.Millisecond
+	fleetTracked      = 16
+	fleetSyncPeriod   = 500 * time.Millisecond
+	fleetSyncDuration = 6 * time.Second
+	fleetSeeds        = 3
+	watchWait         = 800 * time.Millisecond
 )
 
 // fleetHost is one daemon of a Fleet.
@@ -140,6 +147,7 @@
 		if h.ready && h.readsStore() {
 			sim.result.StoreReaders++
 		}
+		sim.result.MostTracked = max(sim.result.MostTracked, len(h.currentView().Members))
 	}
 	slices.Sort(sim.result.ReadyTimes)
 	slices.Sort(sim.result.CatchUpTimes)
@@ -171,7 +179,8 @@
 func (h *fleetHost) start() {
 	h.running, h.started = true, h.sim.now
 	h.membership = peer.NewMembership(peer.Config{
-		ProbePeriod: 2 * peer.DefaultProbePeriod, Updates: peer.MaxUpdates,
+		ProbePeriod: 2 * peer.DefaultProbePeriod, GossipPeriod: fleetGossipPeriod,
+		TrackedPerOtherZone: fleetTracked, Updates: peer.MaxUpdates,
 	}, h.self, rand.New(rand.NewPCG(h.sim.rng.Uint64(), 1)))
 	h.startup = peer.Startup{StartedAt: h.sim.wallTime(), FirstStart: h.sim.fleet.FirstStart}
 	if !h.sim.fleet.FirstStart {
@@ -230,6 +239,7 @@
 
 // send delivers membership messages.
 func (h *fleetHost) send(list []peer.Envelope) {
+	h.sim.result.Messages += len(list)
 	for i := range list {
 		e := list[i]
 		h.afterWork(messageWork, func() {
@@ -336,13 +346,18 @@
 
 // fetchRestoredList fetches the whole list from a host that advertised it, because the changes in
 // the advertisement don't connect to the list that this host holds.
-func (h *fleetHost) fetchRestoredList(source *fleetHost) {
+func (h *fleetHost) fetchRestoredList(source, origin *fleetHost) {
 	if h.catchingUp {
 		return
 	}
 	h.catchingUp = true
 	spent := time.Duration(h.sim.fleet.Upstreams) * catalogEntryWork
-	source.afterWork(callWork+spent, func() { h.afterWork(callWork+spent, h.markCaughtUp) })
+	source.afterWork(callWork+spent, func() {
+		h.afterWork(callWork+spent, func() {
+			h.markCaughtUp()
+			h.relay(origin)
+		})
+	})
 }
 
 // recordContent records that the host holds the store's content as of a time.
@@ -353,9 +368,17 @@
 		h.ready = true
 		h.membership.SetBundle(1)
 		h.sim.result.ReadyTimes = append(h.sim.result.ReadyTimes, h.sim.now-h.started)
-		for _, after := range [...]time.Duration{400 * time.Millisecond, 1500 * time.Millisecond, 4 * time.Second} {
-			h.sim.after(after/2+h.sim.jitter(after), h.fetchMembers)
-		}
+		h.synchronizeMembers()
+	}
+}
+
+// synchronizeMembers fetches the members that random other hosts know while the fleet starts.
+func (h *fleetHost) synchronizeMembers() {
+	if h.sim.now-h.started < fleetSyncDuration {
+		h.sim.after(fleetSyncPeriod/2+h.sim.jitter(fleetSyncPeriod), func() {
+			h.fetchMembers()
+			h.synchronizeMembers()
+		})
 	}
 }
 
@@ -389,14 +412,15 @@
 	h.recordContent(source.contentAsOf)
 }
 
-// fetchMembers requests all members that a random other member knows.
+// fetchMembers requests the members that a random other member knows, unless both know the same.
 func (h *fleetHost) fetchMembers() {
 	v := h.currentView()
 	to := h.sim.byAddress[v.Members[h.sim.rng.IntN(len(v.Members))].RPC]
-	if to == h || !to.ready {
+	if to == h || !to.ready || to.membership.Digest() == h.membership.Digest() {
 		return
 	}
-	known := to.membership.Members()
+	known := to.membership.MembersFor(h.self.Zone)
+	h.sim.result.MembersSent += len(known)
 	spent := callWork + time.Duration(len(known))*catalogEntryWork
 	to.afterWork(spent, func() {
 		h.afterWork(spent, func() {
@@ -406,27 +430,51 @@
 	})
 }
 
-// advertise sends an advertisement to the members if the host is a store reader and its content is
-// at most one second old.
+// advertise sends an advertisement to the host's zone and to the zone readers of other zones if the
+// host is a store reader and its content is at most one second old.
 func (h *fleetHost) advertise() {
-	if !h.ready || !h.readsStore() || h.sim.now-h.contentAsOf > time.Second {
+	if !h.ready || !h.readsStore() || h.sim.now-h.contentAsOf > time.Second || h.needsRelist() {
 		return
 	}
 	v := h.currentView()
-	for i := range v.Members {
-		o := h.sim.byAddress[v.Members[i].RPC]
-		if o == h || !o.running || !o.ready {
-			continue
-		}
-		asOf, ranksBefore := wallStart.Add(h.contentAsOf), o.currentView().RanksBefore(h.self.ID)
-		if o.needsRelist() && h.caughtUp {
-			h.sim.after(fleetDelay, func() { o.fetchRestoredList(h) })
-		}
-		if h.needsRelist() {
-			continue
-		}
-		o.contentAsOf = max(o.contentAsOf, h.contentAsOf)
-		h.sim.after(fleetDelay, func() { o.election.Received(asOf, ranksBefore) })
+	h.sendAdvertisement(h, append(v.Recipients(true), v.OtherZoneReaders()...))
+}
+
+// sendAdvertisement sends the host's content as of contentAsOf, which origin has read.
+func (h *fleetHost) sendAdvertisement(origin *fleetHost, to []*peer.Member) {
+	asOf, caughtUp := h.contentAsOf, h.caughtUp
+	for _, m := range to {
+		o := h.sim.byAddress[m.RPC]
+		h.sim.result.Messages++
+		h.sim.after(fleetDelay, func() { o.receiveAdvertisement(origin, h, asOf, caughtUp) })
+	}
+}
+
+// receiveAdvertisement handles an advertisement as of a time that origin sent, and relays it once.
+func (h *fleetHost) receiveAdvertisement(origin, sender *fleetHost, asOf time.Duration, caughtUp bool) {
+	if !h.running || !h.ready || origin == h {
+		return
+	}
+	v := h.currentView()
+	if caughtUp && h.needsRelist() {
+		h.fetchRestoredList(sender, origin)
+	}
+	h.election.Received(wallStart.Add(asOf), v.RanksBefore(origin.self.ID))
+	if asOf <= h.contentAsOf {
+		return
+	}
+	h.contentAsOf = asOf
+	h.relay(origin)
+}
+
+// relay sends the host's content on to those that receive it from this host.
+func (h *fleetHost) relay(origin *fleetHost) {
+	v := h.currentView()
+	switch {
+	case v.IsZoneReader() && origin.self.Zone != h.self.Zone:
+		h.sendAdvertisement(h, v.Recipients(true))
+	case !v.IsZoneReader():
+		h.sendAdvertisement(origin, v.Recipients(false))
 	}
 }
 
