advertisements: all changes of a burst at once, in fragments

While 450 upstreams a second registered, an advertisement held 14 of some 230 new changes, so every host of the fleet fetched a catalog from its parent after each one, with pauses of half a second at each of three levels of the tree. Members at the end then held content older than 1.5 s, which nobody sends on, and read the store themselves.

An advertisement now holds the last changes again and again only while they are few; more are sent once, compressed, in fragments of a datagram each, up to 512.

--- a/internal/connection/peer/advertisement.go
+++ b/internal/connection/peer/advertisement.go
@@ -63,9 +63,12 @@
 
 // Limits of an Advertisement and a Report, so that each fits into one datagram.
 const (
-	// MaxAdvertisedChanges bounds Advertisement.Changes. One change takes up to 75 bytes. A member
-	// that misses more changes fetches them.
-	MaxAdvertisedChanges = 14
+	// MaxRepeatedChanges is how many changes an advertisement holds that repeats what the one before
+	// it held. One change takes up to 75 bytes, so that they fit in a datagram.
+	MaxRepeatedChanges = 14
+	// MaxAdvertisedChanges bounds Advertisement.Changes. More than MaxRepeatedChanges are sent once,
+	// in fragments. A member that misses some of them fetches them.
+	MaxAdvertisedChanges = 512
 	// MaxAdvertisedZones bounds the evacuated zones in the same datagram. One zone takes about 12
 	// bytes. A member that misses more zones fetches them.
 	MaxAdvertisedZones = 12
--- a/internal/connection/peer/advertisement_test.go
+++ b/internal/connection/peer/advertisement_test.go
@@ -18,7 +18,7 @@
 	// it exceeded the size of a datagram, no member would receive any.
 	It("fits into a datagram with as many changes as it may carry", func() {
 		n := &peer.Advertisement{From: 1 << 60, Age: time.Second, AsOf: 1 << 40, Digest: 1 << 60, Bundle: 1 << 30}
-		for i := range peer.MaxAdvertisedChanges {
+		for i := range peer.MaxRepeatedChanges {
 			n.Changes = append(n.Changes, registry.Change{Registration: registry.Registration{
 				ID: bundle.UpstreamID(1<<40 + i), Service: "newsletter-edit", Zone: "regensburg",
 				Address: netip.MustParseAddrPort("10.128.100.100:50000"), Slots: 2, Warmup: 4 * time.Second,
--- a/internal/process/capacity/cookie.go
+++ b/internal/process/capacity/cookie.go
@@ -175,7 +175,7 @@
 func measureCookieBytes() (advertisements, sums Slope) {
 	advertisements = Slope{Name: "news", SizeUnit: "changes", CostUnit: "bytes"}
 	sums = Slope{Name: "sum", SizeUnit: "upstreams", CostUnit: "bytes"}
-	for _, n := range []int{0, 4, peer.MaxAdvertisedChanges} {
+	for _, n := range []int{0, 4, peer.MaxRepeatedChanges} {
 		m := &peer.Advertisement{From: peer.IDOf("edge"), Age: time.Second, AsOf: 1 << 20, Digest: 1 << 60, Bundle: 1000}
 		for i := range n {
 			m.Changes = append(m.Changes, registry.Change{Registration: newCookieRegistration(i)})
--- a/internal/process/cookiedaemon/advertisement.go
+++ b/internal/process/cookiedaemon/advertisement.go
@@ -6,6 +6,7 @@
 
 	"github.com/fescueshed/fescueshed/internal/connection/cookie"
 	"github.com/fescueshed/fescueshed/internal/connection/peer"
+	"github.com/fescueshed/fescueshed/internal/version/registry"
 )
 
 const (
@@ -80,7 +81,7 @@
 		BundleAsOf:      d.state.bundleAsOf,
 		AsOf:            d.state.catalog.AsOf,
 		Digest:          d.state.catalog.Digest(),
-		Changes:         d.state.catalog.Recent(now.Add(-advertisedSpan), peer.MaxAdvertisedChanges),
+		Changes:         d.advertisedChanges(now),
 		Evacuated:       peer.NewAdvertisedZones(&d.state.evacuated.Stored),
 	}
 	d.mu.Unlock()
@@ -90,6 +91,20 @@
 	send(m, protocolAdvertisement, m.advertisements, a, to)
 }
 
+// advertisedChanges returns the changes for an advertisement: those of advertisedSpan if they are
+// few, and otherwise those that this daemon hasn't advertised yet. While hundreds of upstreams are
+// replaced, repeated changes would fill the links of hosts that relay them, and if members had to
+// fetch them, each level of the tree would receive them a fetch later. d.mu must be held.
+func (d *Daemon) advertisedChanges(now time.Time) []registry.Change {
+	c := d.state.catalog
+	changes := c.Recent(now.Add(-advertisedSpan), peer.MaxRepeatedChanges+1)
+	if len(changes) > peer.MaxRepeatedChanges {
+		changes = c.LoggedAfter(d.lastAdvertised, peer.MaxAdvertisedChanges)
+	}
+	d.lastAdvertised = c.Logged()
+	return changes
+}
+
 // receiveAdvertisement applies what another daemon read in the store. If the changes don't lead to
 // the sender's state, the sender's catalog is fetched, and the advertisement doesn't count as
 // received.
--- a/internal/process/cookiedaemon/daemon.go
+++ b/internal/process/cookiedaemon/daemon.go
@@ -68,6 +68,8 @@
 	// summarizes the last advertisement that this daemon relayed.
 	lastOrigin  peer.ID
 	lastRelayed advertisementSummary
+	// lastAdvertised is the latest change of the catalog that this daemon advertised.
+	lastAdvertised registry.ChangeNumber
 }
 
 // New opens the sockets of a daemon and starts its parts. The returned clean-up function stops them
--- a/internal/process/cookiedaemon/members.go
+++ b/internal/process/cookiedaemon/members.go
@@ -24,6 +24,8 @@
 	protocolMembership protocol = iota + 1
 	protocolAdvertisement
 	protocolReport
+	// protocolFragment is a part of a message that is longer than a datagram.
+	protocolFragment
 )
 
 // members communicates with the other daemons.
@@ -46,6 +48,11 @@
 	lastSequence atomic.Uint64
 	relayed      *relayedSequences
 
+	// lastFragmented is the number of this daemon's last message in fragments; fragments reassembles
+	// those of others.
+	lastFragmented atomic.Uint64
+	fragments      *peer.Reassembler
+
 	// view is the present view of the members.
 	view atomic.Pointer[peer.View]
 	// fetching is set while a catalog is fetched from another daemon.
@@ -101,10 +108,12 @@
 	cfg := d.cfg.Load()
 	m := &members{
 		daemon: d, seedPeriod: seedPeriod, loads: newZoneLoads(), changes: newMemberLog(), relayed: newRelayedSequences(),
+		fragments: peer.NewReassembler(),
 		pullLines: logs.NewLimiter(pullLines),
 		joinSlots: make(chan struct{}, max(minJoinSlots, int(joinSlotsPerCore*cfg.CPUShare))), firstMemberMet: make(chan struct{}, 1),
 	}
 	m.lastSequence.Store(uint64(d.started.UnixNano()))
+	m.lastFragmented.Store(uint64(d.started.UnixNano()))
 	if err := m.newCodecs(keys(cfg)); err != nil {
 		return nil, err
 	}
@@ -202,6 +211,12 @@
 		return
 	}
 	now := time.Now()
+	if protocol(b[0]) == protocolFragment {
+		var complete bool
+		if b, complete = m.fragments.Add(from, b[1:], now); !complete {
+			return
+		}
+	}
 	var err error
 	switch body := b[1:]; protocol(b[0]) {
 	case protocolMembership:
@@ -248,11 +263,29 @@
 		return
 	}
 	b = append([]byte{byte(p)}, b...)
+	if len(b) > peer.MaxMessageBytes {
+		m.sendFragments(b, to)
+		return
+	}
 	for _, t := range to {
 		m.write(b, t.Control, false)
 	}
 }
 
+// sendFragments sends a message that is longer than a datagram.
+func (m *members) sendFragments(b []byte, to []*peer.Member) {
+	parts, err := peer.Fragment(m.lastFragmented.Add(1), b)
+	if err != nil {
+		klog.ErrorS(err, "Message can't be sent in fragments", "Bytes", len(b))
+		return
+	}
+	for _, t := range to {
+		for _, part := range parts {
+			m.write(append([]byte{byte(protocolFragment)}, part...), t.Control, false)
+		}
+	}
+}
+
 // write sends a datagram, from a port that wasn't used before if fresh is set, and counts it.
 func (m *members) write(b []byte, to netip.AddrPort, fresh bool) {
 	if m.ports.Send(b, to, fresh) {
--- a/internal/version/registry/catalog.go
+++ b/internal/version/registry/catalog.go
@@ -23,6 +23,8 @@
 	retained map[bundle.UpstreamID]retainedEntry
 	// log holds the latest changes, for members that lack only a few.
 	log []logEntry
+	// logged is the number of changes that were ever logged.
+	logged ChangeNumber
 	// logStart is the position after which the log is complete; changes up to it may be missing.
 	logStart objects.Position
 	// changed holds the upstreams that were added, changed or removed since the last TakeChanges.
@@ -309,6 +311,7 @@
 		c.log = slices.Delete(c.log, 0, half)
 	}
 	c.log = append(c.log, logEntry{at: now, asOf: asOf, change: ch})
+	c.logged++
 }
 
 // HeldCounts returns how many upstreams are used differently from what the store says: older counts
@@ -330,15 +333,33 @@
 	return changed
 }
 
+// ChangeNumber counts the changes that a catalog has logged.
+type ChangeNumber uint64
+
+// Logged returns the number of the latest change.
+func (c *Catalog) Logged() ChangeNumber { return c.logged }
+
 // Recent returns the changes that were applied after a time, oldest first, at most the latest n.
 func (c *Catalog) Recent(after time.Time, n int) []Change {
+	first := len(c.log)
+	for first > 0 && len(c.log)-first < n && c.log[first-1].at.After(after) {
+		first--
+	}
+	return c.changesFrom(first)
+}
+
+// LoggedAfter returns the changes after the one with a number, oldest first, at most the latest n.
+func (c *Catalog) LoggedAfter(number ChangeNumber, n int) []Change {
+	return c.changesFrom(len(c.log) - min(int(c.logged-number), n, len(c.log)))
+}
+
+// changesFrom returns the changes in the log from an index on.
+func (c *Catalog) changesFrom(first int) []Change {
 	var out []Change
-	for i := range c.log {
-		if c.log[i].at.After(after) {
-			out = append(out, c.log[i].change)
-		}
+	for i := first; i < len(c.log); i++ {
+		out = append(out, c.log[i].change)
 	}
-	return out[max(0, len(out)-n):]
+	return out
 }
 
 // Since returns the changes after a position, oldest first, and whether the log has all of them. A
--- a/internal/version/registry/catalog_test.go
+++ b/internal/version/registry/catalog_test.go
@@ -373,3 +373,19 @@
 		})
 	}
 })
+
+var _ = Describe("The log of a catalog", func() {
+	It("returns the changes after a number, at most the latest", func() {
+		c := registry.NewCatalog()
+		c.Replace(nil, 1, start)
+		for i := range 20 {
+			c.Apply([]registry.Change{{Registration: entry(i + 1)}}, objects.Position(100+i), start)
+		}
+		number := c.Logged()
+		Expect(c.LoggedAfter(number, 10)).To(BeEmpty())
+		c.Apply([]registry.Change{{Registration: entry(3), Removed: true}}, 200, start)
+		Expect(c.LoggedAfter(number, 10)).To(Equal(c.Recent(start.Add(-time.Second), 1)))
+		Expect(c.LoggedAfter(0, 10)).To(HaveLen(10))
+		Expect(c.LoggedAfter(0, 100)).To(HaveLen(21))
+	})
+})
