follower: a watch goes on from what other daemons sent

An answer to a watch holds 500 changes. A host that read the store for itself while others sent it more got an answer as of an earlier position than it knew, counted the store as lost, and waited and listed: 22 times on 121 hosts in the first seconds of the whole fleet's lead, though the store was well.

--- a/internal/process/cookiedaemon/follower.go
+++ b/internal/process/cookiedaemon/follower.go
@@ -79,9 +79,7 @@
 			f.daemon.awaitReadCheck(ctx)
 			continue
 		}
-		if asOf == 0 && f.position != nil && !f.fresh {
-			asOf = f.position()
-		}
+		asOf = f.resumeFrom(asOf)
 		began := time.Now()
 		next, changed, err := f.step(ctx, asOf)
 		switch {
@@ -116,6 +114,20 @@
 	}
 }
 
+// resumeFrom returns the position from which to go on, given the one of the last answer: the one up
+// to which other daemons have sent more, if that is later. An answer to a watch holds a bounded
+// number of changes, so one that goes on from an earlier position may lead to a position that is
+// known already, as if the store were outdated.
+func (f *follower[T]) resumeFrom(asOf objects.Position) objects.Position {
+	if f.position == nil || f.fresh {
+		return asOf
+	}
+	if known := f.position(); asOf == 0 || known > asOf && known.Epoch() == asOf.Epoch() {
+		return known
+	}
+	return asOf
+}
+
 // pause waits before the next call, by the number of consecutive failures.
 func (f *follower[T]) pause(ctx context.Context, failures int) {
 	sleep(ctx, peer.RetryPause(f.daemon.members.view.Load().ReaderRank(), failures, rand.Float64()))
--- a/internal/process/cookiedaemon/follower_test.go
+++ b/internal/process/cookiedaemon/follower_test.go
@@ -7,6 +7,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/fescueshed/fescueshed/internal/process/settings"
 	"github.com/fescueshed/fescueshed/internal/version/objects"
 	"github.com/fescueshed/fescueshed/internal/version/registry"
 )
@@ -99,3 +100,55 @@
 	f.held = o.AcceptSize != nil
 	return objects.Page[int]{AsOf: 9}, nil
 }
+
+// pagedFeed is a store whose answers to a watch hold one change each.
+type pagedFeed struct{ watched []objects.Position }
+
+func (*pagedFeed) List(context.Context, objects.ListOptions) (objects.Page[int], error) {
+	return objects.Page[int]{}, objects.ErrConflict
+}
+
+func (f *pagedFeed) Watch(_ context.Context, from objects.Position, _ time.Duration) (objects.Changes[int], error) {
+	f.watched = append(f.watched, from)
+	return objects.Changes[int]{AsOf: from + 1, List: []objects.Change[int]{{}}}, nil
+}
+
+// Guards against a reader that counts the store as lost because others sent it more than one answer
+// of its watch holds: each of a thousand hosts then read the store for itself.
+func TestFollowerGoesOnFromWhatOthersSent(t *testing.T) {
+	g := NewWithT(t)
+	known := objects.Position(5)
+	f := &follower[int]{objectHandler: objectHandler[int]{position: func() objects.Position { return known }}}
+	g.Expect(f.resumeFrom(0)).To(Equal(objects.Position(5)), "nothing was read yet")
+	g.Expect(f.resumeFrom(3)).To(Equal(objects.Position(5)), "others sent more")
+	g.Expect(f.resumeFrom(9)).To(Equal(objects.Position(9)), "others sent less")
+	known = 0
+	g.Expect(f.resumeFrom(9)).To(Equal(objects.Position(9)), "the list isn't known as a whole")
+	known = 20
+	f.fresh = true
+	g.Expect(f.resumeFrom(9)).To(Equal(objects.Position(9)), "the kind must be listed again")
+}
+
+// The same over a whole run: the reader never answers a watch as of an earlier position than is
+// known.
+func TestFollowerOfPagedWatchDoesNotLoseTheStore(t *testing.T) {
+	g := NewWithT(t)
+	ctx, cancel := context.WithCancel(t.Context())
+	d := &Daemon{start: newStartup(time.Now(), false), state: storeState{catalog: registry.NewCatalog()}}
+	d.cfg.Store(&settings.Cookie{})
+	known := objects.Position(1)
+	feed := &pagedFeed{}
+	f := newFollower(d, kindUpstreams, feed, objectHandler[int]{
+		changes:  func(objects.Changes[int], time.Time) {},
+		position: func() objects.Position { return known },
+	})
+	for range 3 {
+		known += 10 // Another daemon sent ten changes meanwhile.
+		next, _, err := f.step(ctx, f.resumeFrom(known-10))
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(next).To(Equal(known + 1))
+	}
+	cancel()
+	g.Expect(feed.watched).To(Equal([]objects.Position{11, 21, 31}))
+	g.Expect(d.outdatedAnswers[kindUpstreams].Load()).To(BeZero())
+}
