cookie: an upstream whose entry lapsed and is back isn't probed for that alone

A removed entry made its upstream a suspect on every host, and its return made each host probe it at once: hosts times upstreams. An upstream that was a suspect for another reason is probed on its return as before.

--- a/internal/connection/cookie/engine.go
+++ b/internal/connection/cookie/engine.go
@@ -194,7 +194,9 @@
 	e.index.removeFromService(u)
 	u.registered = false
 	u.deregisteredAt = now
+	wasGood := u.health == HealthGood
 	u.suspect(now)
+	u.onlyDeregistered = wasGood
 }
 
 // register applies a registration that was added or changed.
@@ -237,7 +239,11 @@
 		e.index.removeFromService(u)
 	}
 	u.warmingUntil = now.Add(r.Warmup)
-	if !u.registered && u.health != HealthGood {
+	switch {
+	case u.registered || u.health == HealthGood:
+	case u.onlyDeregistered && u.health == HealthSuspect && u.timeouts == 0 && u.unaccepted == 0:
+		u.health = HealthGood // It writes its entry, and nothing else spoke against it.
+	default:
 		u.nextProbe = now // It is registered again: probe it immediately.
 	}
 	u.registered, u.registration, u.mismatched = true, *r, nil
--- a/internal/connection/cookie/probe_test.go
+++ b/internal/connection/cookie/probe_test.go
@@ -303,3 +303,26 @@
 	e.ProbeDone(u.Route.ID, cookie.ProbeRefused, start, start)
 	return e, c, u
 }
+
+var _ = Describe("An upstream whose entry lapsed and is back", func() {
+	list := registrations(3)
+
+	// Guards against probes by every host of each upstream whose entry a busy store lost for a moment:
+	// a thousand hosts made 59,000 probes before the first request.
+	It("isn't probed if nothing else speaks against it", func() {
+		e := newEngine(list)
+		setUpstreams(e, list[1:], start)
+		Expect(e.DueProbes(start)).To(BeEmpty())
+		setUpstreams(e, list, start.Add(time.Second))
+		Expect(e.DueProbes(start.Add(time.Second))).To(BeEmpty())
+		Expect(e.Health(list[0].ID)).To(Equal(cookie.HealthGood))
+	})
+
+	It("is probed if it was a suspect before", func() {
+		e := newEngine(list)
+		e.NoteReportedDead(list[0].ID, start)
+		setUpstreams(e, list[1:], start)
+		setUpstreams(e, list, start.Add(time.Second))
+		Expect(e.DueProbes(start.Add(time.Second))).To(HaveLen(1))
+	})
+})
--- a/internal/connection/cookie/upstream.go
+++ b/internal/connection/cookie/upstream.go
@@ -83,6 +83,9 @@
 	// registered is set while the upstream is registered; deregisteredAt is since when it isn't.
 	registered     bool
 	deregisteredAt time.Time
+	// onlyDeregistered is set if nothing but the end of its registration made it a suspect. If every
+	// host probed each upstream whose entry lapsed and is back, that would be hosts times upstreams.
+	onlyDeregistered bool
 	// mismatched is the present registration if it names a service that no bundle names, while the
 	// upstream was known as one of another service.
 	mismatched *registry.Registration
@@ -148,7 +151,7 @@
 // suspect makes the upstream a suspect and requests an immediate probe.
 func (u *Upstream) suspect(now time.Time) {
 	u.nextProbe = now
-	u.timeouts, u.refusedOnce, u.unaccepted = 0, false, 0
+	u.timeouts, u.refusedOnce, u.unaccepted, u.onlyDeregistered = 0, false, 0, false
 	u.setHealth(HealthSuspect)
 }
 
