cookie: a flow that was moved counts as placed at the time of the move

A caller could see a live flow reset: its first packet was placed at one upstream, repeated, and moved to another that had restarted in between; when that one's new registration arrived seconds later, the flow's age was that of its first placement, so it counted as one of the former incarnation. The test fails without the change.

--- a/internal/connection/cookie/established.go
+++ b/internal/connection/cookie/established.go
@@ -44,7 +44,7 @@
 // flow's packets would go to an upstream that resets them.
 func (e *Engine) markOpened(f *flow, p *Packet, now time.Time) {
 	if u := e.index.byCookie[p.Cookie]; u != nil && u != f.upstream {
-		f.moveTo(u)
+		f.moveTo(u, now)
 	}
 	if p.Flags.Has(FlagRST) {
 		return
--- a/internal/connection/cookie/flow.go
+++ b/internal/connection/cookie/flow.go
@@ -27,8 +27,8 @@
 	formerIncarnation bool
 	// lastCopy is the highest Packet.Copy seen of the flow's first packet.
 	lastCopy uint32
-	// placedAt is when this balancer added the record, lastPacket when the last packet arrived. A
-	// duplicate of the first packet doesn't count.
+	// placedAt is when this balancer added the record or moved the flow to its present upstream,
+	// lastPacket when the last packet arrived. A duplicate of the first packet doesn't count.
 	placedAt, lastPacket time.Time
 	// requestedAt is when the first packet of the request in progress arrived.
 	requestedAt time.Time
@@ -95,8 +95,10 @@
 	}
 }
 
-// moveTo assigns the flow to another upstream and moves its load there.
-func (f *flow) moveTo(u *Upstream) {
+// moveTo assigns the flow to another upstream and moves its load there. That upstream can't have had
+// the flow before.
+func (f *flow) moveTo(u *Upstream, now time.Time) {
+	f.placedAt = now
 	f.removeFromLoad()
 	f.upstream.addFlowRecords(-1)
 	f.upstream = u
--- a/internal/connection/cookie/open.go
+++ b/internal/connection/cookie/open.go
@@ -77,7 +77,7 @@
 		return Verdict{Action: ActionForward, Cause: CauseRepeated, Upstream: f.upstream}
 	}
 	f.previous = f.upstream
-	f.moveTo(u)
+	f.moveTo(u, now)
 	return Verdict{Action: ActionForward, Cause: CauseSilent, Upstream: u}
 }
 
--- a/internal/connection/cookie/restart_test.go
+++ b/internal/connection/cookie/restart_test.go
@@ -77,6 +77,28 @@
 		Expect(id(e.Decide(c.request(5), now))).To(Equal(u.Route.ID), "it resets the flow itself if it doesn't hold it")
 	})
 
+	// Guards against a reset of a live flow that was placed elsewhere before the upstream's restart and
+	// moved there after it, since its first packet was lost.
+	It("keeps a flow that was moved to its new incarnation", func() {
+		list := registrationsWithStart(2)
+		e := newEngine(list)
+		began := start.Add(time.Minute)
+		confirmPeriodically(e, start, began)
+		c := newCaller(1, feedAt)
+		first := e.Decide(c.first(0), began).Upstream
+		e.NoteReportedDead(first.Route.ID, began)
+		moved := began.Add(time.Second)
+		second := e.Decide(c.first(1), moved).Upstream
+		Expect(second).NotTo(Equal(first))
+		c.receiveAnswer(second)
+		e.Decide(c.ackPacket(1), moved)
+		// The registration of the incarnation that took the flow arrives late.
+		now := moved.Add(6500 * ms)
+		confirmPeriodically(e, began, now)
+		e.Decide(c.request(5), now)
+		Expect(updateOne(e, restartedRegistration(second.Registration()), now)).To(BeEmpty())
+	})
+
 	// Guards against resets of live flows after an outage of the store of ten seconds. An upstream
 	// restarts in its first second and serves flows, but can't write its new entry before the store
 	// is back; the store still has the former one. Eleven seconds later all those flows would be
