--- a/internal/process/cookiedaemon/data.go
+++ b/internal/process/cookiedaemon/data.go
@@ -151,9 +151,13 @@
 	v := d.daemon.engine.Decide(&p, now)
 	in := d.daemon.inputs(now)
 	var to netip.AddrPort
+	route := v.Reset.Upstream
+	if v.Upstream != nil {
+		route = v.Upstream.Route // A new version of the bundle may replace it once d.mu is released.
+	}
 	if v.Action == cookie.ActionForward {
-		to = v.Upstream.Route.Address
-		d.daemon.platform.Packets.Forward(b, v.Upstream.Route.ID, v.Upstream.Cookie)
+		to = route.Address
+		d.daemon.platform.Packets.Forward(b, route.ID, v.Upstream.Cookie)
 	}
 	d.daemon.mu.Unlock()
 	switch v.Action {
@@ -163,7 +167,7 @@
 		d.resetBuf = d.reset(d.resetBuf, &v.Reset)
 	case cookie.ActionDrop:
 	}
-	d.daemon.logs.decided(&p, &v, in, now)
+	d.daemon.logs.decided(&p, &v, route, in, now)
 }
 
 // reset sends a reset to its caller and returns the buffer for the next one.
--- a/internal/process/cookiedaemon/log.go
+++ b/internal/process/cookiedaemon/log.go
@@ -36,8 +36,9 @@
 	listAge time.Duration
 }
 
-// decided logs the decision on one packet. Forwarding a packet of an established flow isn't logged.
-func (l *decisionLog) decided(p *cookie.Packet, v *cookie.Verdict, in inputs, now time.Time) {
+// decided logs the decision on one packet; route is that of the upstream it concerns, or nil.
+// Forwarding a packet of an established flow isn't logged.
+func (l *decisionLog) decided(p *cookie.Packet, v *cookie.Verdict, route *bundle.UpstreamRoute, in inputs, now time.Time) {
 	if v.Action == cookie.ActionForward && v.Cause == cookie.CauseNone {
 		return
 	}
@@ -49,10 +50,6 @@
 		"Cause", v.Cause, "Caller", p.Key.Caller(), "To", p.Key.Service(), "Copy", p.Copy, "Cookie", uint32(p.Cookie),
 		"Bundle", in.bundle, "ListAge", in.listAge.Round(time.Millisecond),
 	}
-	route := v.Reset.Upstream
-	if v.Upstream != nil {
-		route = v.Upstream.Route
-	}
 	klog.InfoS(actionLines[v.Action], appendRoute(kv, route, left)...)
 }
 
