Stop of a stand-in process can't miss a restart; a refusal is remembered by the differential test

Stop killed the process that had just ended and then waited for one that had just been started. The start and Stop now exclude each other.

--- a/internal/connection/caller/differential_test.go
+++ b/internal/connection/caller/differential_test.go
@@ -130,9 +130,13 @@
 		if a.Token[0] != r.token {
 			m.t.Fatalf("request %d got the answer to token %d", r.id, a.Token[0])
 		}
-		if a.Code == codes.ServiceUnavailable && m.reference.runs[fmt.Sprint(r.id)] > 0 {
+		if a.Code != codes.ServiceUnavailable {
+			continue
+		}
+		if m.reference.runs[fmt.Sprint(r.id)] > 0 {
 			m.t.Fatalf("request %d was refused as not run, but ran", r.id)
 		}
+		m.reference.refused[fmt.Sprint(r.id)] = true
 	}
 }
 
--- a/internal/standin/world/process.go
+++ b/internal/standin/world/process.go
@@ -100,13 +100,10 @@
 	}
 	cmd := exec.CommandContext(context.Background(), p.binary, "--settings", p.settings)
 	cmd.Stdout, cmd.Stderr = log, log
-	if err := cmd.Start(); err != nil {
+	if err := p.startUnlessStopped(cmd); err != nil {
 		_ = log.Close()
 		return eris.Wrap(err, "world: start")
 	}
-	p.mu.Lock()
-	p.cmd = cmd
-	p.mu.Unlock()
 	go func() {
 		_ = cmd.Wait() // The process's log tells how it ended.
 		_ = log.Close()
@@ -115,14 +112,28 @@
 	return nil
 }
 
+// errStopped is returned by a start after Stop was called.
+var errStopped = eris.New("world: the process was stopped")
+
+// startUnlessStopped starts cmd, so that a concurrent Stop either prevents the start or kills cmd.
+func (p *Process) startUnlessStopped(cmd *exec.Cmd) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.stopped {
+		return errStopped
+	}
+	if err := cmd.Start(); err != nil {
+		return err
+	}
+	p.cmd = cmd
+	return nil
+}
+
 // restartUnlessStopped starts the process again after restartDelay. If Stop was called, or the start fails, it closes
 // p.done instead.
 func (p *Process) restartUnlessStopped() {
 	time.Sleep(restartDelay)
-	p.mu.Lock()
-	stopped := p.stopped
-	p.mu.Unlock()
-	if stopped || p.start() != nil {
+	if p.start() != nil {
 		close(p.done)
 	}
 }
@@ -157,10 +168,11 @@
 
 // Stop kills the process, doesn't start it again, and waits for its end.
 func (p *Process) Stop() {
-	p.Signal(syscall.SIGCONT)
-	p.Signal(syscall.SIGKILL)
 	p.mu.Lock()
 	p.stopped = true
+	for _, s := range [...]syscall.Signal{syscall.SIGCONT, syscall.SIGKILL} {
+		_ = p.cmd.Process.Signal(s) // The process may have ended in the meantime.
+	}
 	p.mu.Unlock()
 	<-p.done
 }
