cookie: an upstream that doesn't open a new flow within 100 ms becomes a suspect

Now a flow that isn't opened within 100 ms, half of the time after which a caller repeats, makes its upstream a suspect if it was seen nowhere else since, as a silent request does; a probe decides.

Ruled out: capacity (0.5 of the slots left in use), the cut hosts (their callers fail no more than others).

--- a/internal/connection/cookie/engine.go
+++ b/internal/connection/cookie/engine.go
@@ -55,6 +55,7 @@
 	pendingSuspects []*Upstream
 	nextCheck       time.Time
 	waitQueues      waitQueues
+	openings        openings
 	// typicalLatency is the smoothed time in which requests of each service are answered.
 	typicalLatency map[string]time.Duration
 	// outcomesRotatedAt is when the windows of request outcomes were last rotated.
--- a/internal/connection/cookie/open.go
+++ b/internal/connection/cookie/open.go
@@ -65,6 +65,7 @@
 	e.flows[p.Key] = f
 	u.addFlowRecords(1)
 	f.addToLoad()
+	e.trackOpening(f, now)
 	return Verdict{Action: ActionForward, Cause: e.placedCause(u), Upstream: u}
 }
 
@@ -78,6 +79,7 @@
 	}
 	f.previous = f.upstream
 	f.moveTo(u, now)
+	e.trackOpening(f, now)
 	return Verdict{Action: ActionForward, Cause: CauseSilent, Upstream: u}
 }
 
--- a/internal/connection/cookie/pending.go
+++ b/internal/connection/cookie/pending.go
@@ -44,6 +44,39 @@
 	return min((delay + suspicionDelayStep - 1).Truncate(suspicionDelayStep), maxSuspicionDelay)
 }
 
+// openingDelay is how long an upstream may leave a new flow unopened before it becomes a suspect. It
+// is shorter than the time after which a caller retransmits, since a caller whose packet was refused
+// at once doesn't: it comes back with another flow, which would be placed like the one before.
+const openingDelay = 100 * time.Millisecond
+
+// openings are the flows placed lately, oldest first.
+type openings []opening
+
+// opening is a flow that was placed at an upstream at a time.
+type opening struct {
+	f        *flow
+	upstream *Upstream
+	placedAt time.Time
+}
+
+// trackOpening queues a flow that was placed now.
+func (e *Engine) trackOpening(f *flow, now time.Time) {
+	e.openings = append(e.openings, opening{f: f, upstream: f.upstream, placedAt: now})
+}
+
+// suspectUnopened calls noteUnanswered for the upstreams that haven't opened a flow in time and
+// weren't seen since it was placed.
+func (e *Engine) suspectUnopened(now time.Time) {
+	n := 0
+	for ; n < len(e.openings) && now.Sub(e.openings[n].placedAt) >= openingDelay; n++ {
+		o := &e.openings[n]
+		if !o.f.opened && o.f.upstream == o.upstream && !o.upstream.lastSeen.After(o.placedAt) {
+			e.noteUnanswered(o.upstream, now)
+		}
+	}
+	e.openings = slices.Delete(e.openings, 0, n)
+}
+
 // add appends a request that arrived now.
 func (w waitQueues) add(f *flow, delay time.Duration, now time.Time) {
 	w[delay] = append(w[delay], waitingRequest{f: f, requestedAt: now})
--- a/internal/connection/cookie/pending_test.go
+++ b/internal/connection/cookie/pending_test.go
@@ -111,3 +111,37 @@
 		Expect(e.DueProbes(asked.Add(10 * time.Second))).To(BeEmpty())
 	})
 })
+
+var _ = Describe("An upstream that refuses new flows at once", func() {
+	// Guards against a zone whose upstreams crash and refuse connections: their callers don't repeat
+	// first packets, come back with other flows, and were sent to the same upstreams again for as long
+	// as those were down.
+	It("is probed although no first packet is repeated", func() {
+		e := newEngine(registrations(2))
+		alive := newCaller(1, feedAt)
+		u := alive.open(e, start)
+		var refusing *cookie.Upstream
+		for i := 2; refusing == nil; i++ {
+			if v := e.Decide(newCaller(i, feedAt).first(0), start); v.Upstream != u {
+				refusing = v.Upstream
+			}
+		}
+		Expect(e.DueProbes(start.Add(50 * ms))).To(BeEmpty())
+		e.Decide(alive.ackPacket(1), start.Add(60*ms))
+		due := e.DueProbes(start.Add(100 * ms))
+		Expect(due).To(HaveLen(1))
+		Expect(due[0].Upstream.ID).To(Equal(refusing.Route.ID))
+		e.ProbeDone(refusing.Route.ID, cookie.ProbeRefused, start.Add(100*ms), start.Add(101*ms))
+		for i := range 20 {
+			Expect(id(e.Decide(newCaller(100+i, feedAt).first(0), start.Add(110*ms)))).To(Equal(u.Route.ID))
+		}
+	})
+
+	It("isn't suspected if the flow opens or the upstream is seen elsewhere", func() {
+		e := newEngine(registrations(3))
+		for i := range 6 {
+			newCaller(i, feedAt).open(e, start)
+		}
+		Expect(e.DueProbes(start.Add(150 * ms))).To(BeEmpty())
+	})
+})
--- a/internal/connection/cookie/probe.go
+++ b/internal/connection/cookie/probe.go
@@ -89,6 +89,7 @@
 // ProbeDone, or to CheckDone if its Check is set.
 func (e *Engine) DueProbes(now time.Time) []Probe {
 	e.suspectWaiting(now)
+	e.suspectUnopened(now)
 	var out []Probe
 	if check, ok := e.dueCheck(now); ok {
 		out = append(out, check)
--- a/internal/connection/peer/memberlist_test.go
+++ b/internal/connection/peer/memberlist_test.go
@@ -13,7 +13,7 @@
 	g := NewWithT(t)
 	w := links.New(300, 1)
 	meet(w)
-	members := w.Members[0].Membership.Members()
+	members := w.Members[0].MembersFor(w.Members[0].Host.Zone)
 	list, err := peer.NewMemberList(members)
 	g.Expect(err).NotTo(HaveOccurred())
 	got, err := list.Members()
