--- a/cmd/fescueshed/main.go
+++ b/cmd/fescueshed/main.go
@@ -27,7 +27,7 @@
 	Burn       burnCommand          `cmd:"" help:"Show how fast each service uses up its service-level objective's error budget."`
 	Explain    explainCommand       `cmd:"" help:"Show the log lines of several balancers that concern one flow, and explain them."`
 	Experiment experimentCommand    `cmd:"" help:"Compare placement policies on load patterns, simulated in virtual time."`
-	Fleet      fleetCommand         `cmd:"" help:"Simulate the start of fleets of several sizes in virtual time: what it costs hosts and the store."`
+	Fleet      fleetCommand         `cmd:"" help:"Simulate starts of fleets of several sizes: what they cost hosts and the store."`
 	Check      checkCommand         `cmd:"" help:"Check settings and bundles and print all findings."`
 }
 
