--- a/cmd/fescueshed/fleet.go
+++ b/cmd/fescueshed/fleet.go
@@ -18,6 +18,7 @@
 	Zones       int           `help:"Number of zones." default:"5"`
 	Large       int           `help:"One in this many hosts is large." default:"20"`
 	Upstreams   int           `help:"Registered upstreams for each host." default:"10"`
+	SmallShare  int           `help:"A small host's share of a core, in thousandths." default:"192"`
 	PowerLoss   bool          `help:"Start after a power loss, with callers waiting, instead of for the first time."`
 	CallerDelay time.Duration `help:"Mean time until a caller's packet arrives at a host after a power loss." default:"50ms"`
 	Length      time.Duration `help:"Simulated time." default:"8s"`
@@ -40,8 +41,8 @@
 
 // Run simulates starts of fleets and prints what they cost.
 func (c *fleetCommand) Run() error {
-	if c.Zones < 1 || c.Large < 1 || c.Upstreams < 0 {
-		return eris.New("fleet: zones and large must be at least 1, upstreams at least 0")
+	if c.Zones < 1 || c.Large < 1 || c.SmallShare < 1 || c.Upstreams < 0 {
+		return eris.New("fleet: zones, large and small-share must be at least 1, upstreams at least 0")
 	}
 	results := make([]fleetStart, 0, len(c.Hosts))
 	for _, n := range c.Hosts {
@@ -60,8 +61,8 @@
 	perZone := hosts / c.Zones
 	large := max(1, perZone/c.Large)
 	f := &emulator.Fleet{
-		Zones: c.Zones, Large: large, Small: perZone - large, Upstreams: hosts * c.Upstreams,
-		FirstStart: !c.PowerLoss, CallerDelay: c.CallerDelay, Length: c.Length,
+		Zones: c.Zones, Large: large, Small: perZone - large, SmallShare: c.SmallShare,
+		Upstreams: hosts * c.Upstreams, FirstStart: !c.PowerLoss, CallerDelay: c.CallerDelay, Length: c.Length,
 	}
 	r := emulator.RunFleet(f, c.Seed)
 	all := float64(c.Zones * perZone)
--- a/internal/standin/emulator/fleet.go
+++ b/internal/standin/emulator/fleet.go
@@ -1,6 +1,7 @@
 package emulator
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
@@ -18,6 +19,8 @@
 	// Zones is the number of zones. Large and Small are the numbers of large and small hosts in
 	// each.
 	Zones, Large, Small int
+	// SmallShare is a small host's share of a core in thousandths, smallShare if it is zero.
+	SmallShare int
 	// Upstreams is the number of registered upstreams.
 	Upstreams int
 	// FirstStart says that the system starts for the first time and no callers wait. Otherwise a
@@ -155,7 +158,7 @@
 }
 
 func (sim *fleetSimulation) addHost(zone, i int) {
-	h := &fleetHost{sim: sim, share: smallShare}
+	h := &fleetHost{sim: sim, share: cmp.Or(sim.fleet.SmallShare, smallShare)}
 	if i < sim.fleet.Large {
 		h.share = largeShare
 	}
