--- a/cmd/soak/fault.go
+++ b/cmd/soak/fault.go
@@ -276,6 +276,9 @@
 // flow may enter the zone, so that flows that enter too late are detected.
 const minEvacuation = 7 * time.Second
 
+// maxEvacuation is the longest time that a zone stays evacuated.
+const maxEvacuation = minEvacuation + maxFault
+
 // evacuate evacuates a random host's zone and ends the evacuation after a random time.
 func (r *run) evacuate() string {
 	zone := r.w.Hosts[r.randomHost()].Zone
--- a/cmd/soak/run.go
+++ b/cmd/soak/run.go
@@ -31,10 +31,10 @@
 
 // Times of a run after its faults, and the share of requests that must be answered then.
 const (
-	// healWait is the time from the end of the injection until all requests must be served again. It covers
-	// maxFault and the time until a crashed upstream's entry expires. The users' bound for a recovery is far longer.
-	// An evacuation may last longer than healWait.
-	healWait = maxFault + 5*time.Second
+	// healWait is the time from the end of the injection until all requests must be served again. It covers the
+	// longest fault, which is an evacuation, and the time until a crashed upstream's entry expires. The users' bound
+	// for a recovery is far longer.
+	healWait = maxEvacuation + 5*time.Second
 	// checkPeriod is the time after healWait over which availability is evaluated, minAnsweredShare the share of
 	// requests that must be answered in it.
 	checkPeriod      = 3 * time.Second
--- a/internal/connection/cookie/doc.go
+++ b/internal/connection/cookie/doc.go
@@ -23,6 +23,9 @@
 //	              only if there is no better choice
 //	ejected       an upstream that for a while gets new flows only if there is no better choice, since
 //	              too many requests fail there
+//	usable        registered, not draining and in good health, see Upstream.usable
+//	pool          the registered upstreams of one service in one zone; a new flow is placed by a few
+//	              samples of the usable ones, see search
 //	report        what balancers of a zone send each other of their counts, see peer.Report
 //
 // The package only decides; it has no sockets, goroutines or clock. An Engine isn't safe for
--- a/internal/connection/peer/member.go
+++ b/internal/connection/peer/member.go
@@ -8,7 +8,9 @@
 //
 //   - Membership detects by probes which members are alive. A member that doesn't answer them is
 //     suspected: it is declared dead unless it refutes the suspicion in time. Changes reach all
-//     members by gossip, as updates in the probes' messages. A View is a snapshot of the members.
+//     members by gossip: updates in the probes' messages and, in large fleets, in messages of their
+//     own. Where hosts are many, a daemon tracks its own zone and the first members of each other
+//     one (tracking.go), and daemons exchange MemberLists. A View is a snapshot of the members.
 //   - The owner of a flow is the member that decides on its packets, the replicas are the members
 //     with copies of its record, and the backup is the replica in the upstream's zone. The placer of
 //     a service chooses the upstreams of its new flows. View computes all of them by rendezvous
--- a/internal/process/cookiedaemon/doc.go
+++ b/internal/process/cookiedaemon/doc.go
@@ -28,7 +28,8 @@
 //	epoch.go                     answers of an earlier epoch or position; held entries after a restore of the store
 //	store.go, bundle.go,         applying upstreams, bundles and evacuated zones, from the store or another daemon
 //	evacuation.go
-//	members.go, memberlog.go     membership of the other daemons
+//	members.go, memberlist.go,   membership of the other daemons: messages, lists, log lines
+//	memberlog.go
 //	advertisement.go, catalog.go advertising the store's content; fetching what advertisements don't cover
 //	loads.go, relay.go           load reports of the zone, relayed by its members
 //	probe.go                     health probes of suspected upstreams
