--- a/internal/connection/cookie/probe_test.go
+++ b/internal/connection/cookie/probe_test.go
@@ -307,8 +307,8 @@
 var _ = Describe("An upstream whose entry lapsed and is back", func() {
 	list := registrations(3)
 
-	// Guards against probes by every host of each upstream whose entry a busy store lost for a moment:
-	// a thousand hosts made 59,000 probes before the first request.
+	// Guards against probes by every host of each upstream whose entry lapsed for a moment: hosts times
+	// upstreams.
 	It("isn't probed if nothing else speaks against it", func() {
 		e := newEngine(list)
 		setUpstreams(e, list[1:], start)
