cookie: flows that may be open at another upstream aren't reset

What callers saw: a flow that had just opened was reset by a host although its upstream served it; or a first packet that another host had accepted was refused.

Cause: routers send the retransmission of a first packet to another host when hosts join or leave. That host places the flow at a live upstream, where it opens. The first host still holds a record of its own choice. It finds that upstream dead some 100 to 500 ms after the first packet and resets all flows of it, also those that it never saw open. In the same way, a host without an upstream or without the route refused a retransmission which the host before had accepted.

Evidence: hypotheses were told apart by logs of all hosts.

Change: a flow that isn't known to be open is reset only while no other host can have a copy of its first packet: all copies that its caller can have sent arrived here, and the next one isn't due within 50 ms. Otherwise its next copy goes to another upstream. Retransmissions of first packets aren't refused by hosts without a record of their flow, as admission control had it already.

The other data path has no such case: there, one owner decides for a flow whichever host receives a copy.

--- a/internal/connection/cookie/class.go
+++ b/internal/connection/cookie/class.go
@@ -28,14 +28,13 @@
 // classPriority returns the priority of a route's class, within what messages carry.
 func classPriority(r *bundle.CallerRoute) int { return min(max(0, r.Priority), peer.MaxClassPriority) }
 
-// admit decides whether a new flow is placed. A retransmitted first packet is always placed: the
-// flow may be opening at this moment through the host that received the packet before, and a reset
-// would break it.
+// admit decides whether a new flow is placed. A retransmitted first packet is always placed, see
+// Packet.isRetransmitted.
 func (e *Engine) admit(
 	p *Packet, r *bundle.CallerRoute, s *bundle.ServiceRoute, now time.Time,
 ) (*admission.Counter, admission.Decision) {
 	class := e.classOf(s, r)
-	if class == nil || p.Copy > 0 {
+	if class == nil || p.isRetransmitted() {
 		return class, admission.Decision{Admitted: true}
 	}
 	return class, e.opts.Admission.Admit(class, r.Name, xxhash.Sum64(p.Key.CallerIP[:]), now)
--- a/internal/connection/cookie/engine.go
+++ b/internal/connection/cookie/engine.go
@@ -297,6 +297,9 @@
 		return Verdict{Cause: CauseNoRoute}
 	}
 	r := e.routing.RouteAt(p.Key.Service())
+	if r == nil && p.isRetransmitted() {
+		return Verdict{Cause: CauseNoRoute}
+	}
 	if r == nil {
 		return resetVerdict(p, CauseNoRoute)
 	}
--- a/internal/connection/cookie/flow.go
+++ b/internal/connection/cookie/flow.go
@@ -26,8 +26,11 @@
 	// formerIncarnation is set if the upstream seems to have restarted since. The flow doesn't
 	// count in the load until its caller acknowledges new data.
 	formerIncarnation bool
-	// lastCopy is the highest Packet.Copy seen of the flow's first packet.
-	lastCopy uint32
+	// lastCopy is the highest Packet.Copy seen of the flow's first packet, lastCopyAt when it arrived.
+	// missesCopy is set if one before it didn't arrive here.
+	lastCopy   uint32
+	lastCopyAt time.Time
+	missesCopy bool
 	// placedAt is when this balancer added the record or moved the flow to its present upstream,
 	// lastPacket when the last packet arrived. A duplicate of the first packet doesn't count.
 	placedAt, lastPacket time.Time
@@ -54,6 +57,54 @@
 	openingLifetime = 2 * time.Second
 )
 
+// newFlow returns the record of a flow that is placed at an upstream in answer to a first packet.
+func newFlow(u *Upstream, class *admission.Counter, p *Packet, now time.Time) *flow {
+	return &flow{
+		upstream: u, class: class, placedAt: now, lastPacket: now, ack: p.Ack,
+		lastCopy: p.Copy, lastCopyAt: now, missesCopy: p.Copy > 0,
+	}
+}
+
+// noteCopy records a retransmission of the flow's first packet.
+func (f *flow) noteCopy(n uint32, now time.Time) {
+	f.lastPacket = now
+	if n <= f.lastCopy {
+		return
+	}
+	f.missesCopy = f.missesCopy || n > f.lastCopy+1
+	f.lastCopy, f.lastCopyAt = n, now
+}
+
+const (
+	// copyTransit is the longest time that a first packet is taken to need from its caller until it is
+	// handled here.
+	copyTransit = 50 * time.Millisecond
+	// lastCopyLifetime is how long after the last copy of a first packet its caller gives the flow up.
+	lastCopyLifetime = 800 * time.Millisecond
+)
+
+// copyIntervals are the times from a copy of a first packet to the next one.
+var copyIntervals = [...]time.Duration{200 * time.Millisecond, 400 * time.Millisecond}
+
+// onlyPlacedHere reports whether no other balancer can have placed the flow at another upstream, where
+// it may be open by now: all copies of its first packet that the caller can have sent arrived here, and
+// none was sent to another upstream.
+func (f *flow) onlyPlacedHere(now time.Time) bool {
+	if f.missesCopy || f.previous != nil {
+		return false
+	}
+	interval := lastCopyLifetime
+	if int(f.lastCopy) < len(copyIntervals) {
+		interval = copyIntervals[f.lastCopy]
+	}
+	return now.Sub(f.lastCopyAt) < interval-copyTransit
+}
+
+// mayBeReset reports whether a reset sent now can't break the flow if its upstream here is dead. A flow
+// that isn't known to be open may be open at another upstream: routers send the retransmission of its
+// first packet to another balancer when hosts join or leave.
+func (f *flow) mayBeReset(now time.Time) bool { return f.opened || f.onlyPlacedHere(now) }
+
 // lifetime returns how long the record is kept without packets.
 func (f *flow) lifetime(idle time.Duration) time.Duration {
 	switch {
--- a/internal/connection/cookie/open.go
+++ b/internal/connection/cookie/open.go
@@ -20,8 +20,7 @@
 		// The network duplicated or delayed the datagram.
 		return Verdict{Action: ActionForward, Cause: CauseRepeated, Upstream: f.upstream}
 	}
-	f.lastCopy = p.Copy
-	f.lastPacket = now
+	f.noteCopy(p.Copy, now)
 	// An upstream that answers other flows only lost a packet of this one. Any other may be dead or
 	// at capacity, and waiting for a second retransmission would cost 400 ms more. If no upstream
 	// at all is seen, the fault may be on this host's side, and another upstream would be as
@@ -42,7 +41,7 @@
 	if f.opened {
 		return Verdict{Cause: CauseEvacuated}
 	}
-	f.lastCopy, f.lastPacket = max(f.lastCopy, p.Copy), now
+	f.noteCopy(p.Copy, now)
 	v := e.placeAgain(p, f, r, now)
 	if !e.isEvacuated(f.upstream) {
 		return v
@@ -65,10 +64,13 @@
 	}
 	u := e.choose(r, service, h, nil, now)
 	if u == nil {
+		if p.isRetransmitted() {
+			return Verdict{Cause: CauseNoUpstream}
+		}
 		e.requestCounts(service).Refused++
 		return resetVerdict(p, CauseNoUpstream)
 	}
-	f := &flow{upstream: u, class: class, lastCopy: p.Copy, placedAt: now, lastPacket: now, ack: p.Ack}
+	f := newFlow(u, class, p, now)
 	e.flows[p.Key] = f
 	u.addFlowRecords(1)
 	f.addToLoad()
--- a/internal/connection/cookie/packet.go
+++ b/internal/connection/cookie/packet.go
@@ -84,6 +84,11 @@
 // opensFlow reports whether the packet requests a new flow.
 func (p *Packet) opensFlow() bool { return p.Flags.Has(FlagSYN) && !p.Flags.Has(FlagACK|FlagRST) }
 
+// isRetransmitted reports whether the packet is a retransmission of a first packet. A balancer that has
+// no record of its flow must not refuse it: the balancer that received the packet before has accepted it,
+// or the caller wouldn't send it again, and the flow may be opening at this moment.
+func (p *Packet) isRetransmitted() bool { return p.opensFlow() && p.Copy > 0 }
+
 // seqSpan returns how many sequence numbers the packet takes up, for its data and a FIN.
 func (p *Packet) seqSpan() uint32 {
 	n := uint32(p.Length)
--- a/internal/connection/cookie/probe.go
+++ b/internal/connection/cookie/probe.go
@@ -128,7 +128,7 @@
 	if !u.applyProbe(r, sent, now) {
 		return nil
 	}
-	return e.endFlowsAt(map[*Upstream]bool{u: true})
+	return e.endFlowsAt(map[*Upstream]bool{u: true}, now)
 }
 
 // NoteReportedDead notes that another balancer found an upstream dead. This one probes the upstream
--- a/internal/connection/cookie/restart.go
+++ b/internal/connection/cookie/restart.go
@@ -72,7 +72,7 @@
 		}
 		f.formerIncarnation = true
 		f.removeFromLoad()
-		if certain && !f.placedAt.After(formerUntil) {
+		if certain && !f.placedAt.After(formerUntil) && f.mayBeReset(now) {
 			out = append(out, e.endFlow(k, f, CauseRestarted))
 		}
 	}
--- a/internal/connection/cookie/zonehealth.go
+++ b/internal/connection/cookie/zonehealth.go
@@ -171,7 +171,7 @@
 		u.zoneHealth.suspect(now)
 		e.suspectOthers(u.zoneHealth, now)
 	}
-	return found, e.endFlowsAt(dead)
+	return found, e.endFlowsAt(dead, now)
 }
 
 // deadAfterUnaccepted returns the upstreams that are dead now that u left a connection unaccepted:
@@ -219,11 +219,12 @@
 	}
 }
 
-// endFlowsAt ends the flows of upstreams that were found dead and returns their resets.
-func (e *Engine) endFlowsAt(dead map[*Upstream]bool) []Reset {
+// endFlowsAt ends the flows of upstreams that were found dead and returns their resets. A flow that may
+// be open elsewhere stays: the next copy of its first packet is sent to another upstream.
+func (e *Engine) endFlowsAt(dead map[*Upstream]bool, now time.Time) []Reset {
 	var out []Reset
 	for k, f := range e.flows {
-		if dead[f.upstream] {
+		if dead[f.upstream] && f.mayBeReset(now) {
 			out = append(out, e.endFlow(k, f, deadCause(f.upstream)))
 		}
 	}
