cookiedaemon: a host doesn't read a bundle from the store that it is being sent

Cause, by a log line at each change of who reads the store (trial, now part of the product): three ways in which a host takes over from a store reader that is alive. 1. An advertisement that names a bundle which the host lacks didn't count as received, even while the host fetched the update: «Reads=true Received=2.02s Fetching=true», with an advertisement 22 ms old. 2. After a watch that stayed unanswered, the reader's next one waited 800 ms for a change before it confirmed anything: «Store regained After=1.08s», and the content was 2.02 s old at the others. 3. A reader that is receiving a large bundle has nothing new to advertise for longer than the others wait.

Change: content that is being fetched counts as received until the fetch fails, brings nothing newer or gets too old (ReaderElection.Offered, Fetched); the watch after an unanswered one doesn't wait; and while a reader that ranks before is heard by its load reports and doesn't report the store as lost, a host waits 0.8 s longer. A reader that is frozen, dead, cut off or refused is taken over from as soon as before (tests). All this is independent of the size of the fleet; in a large one it keeps the hosts of other zones and the next in rank from reading the whole bundle at the time when the store is slowest. The other data path fetches bundles from members only.

--- a/internal/connection/peer/reader.go
+++ b/internal/connection/peer/reader.go
@@ -162,6 +162,13 @@
 	// lastReceived is the latest time as of which other daemons advertised the store's content or
 	// this one read it, lastFromRankedBefore that of daemons that rank before this one.
 	lastReceived, lastFromRankedBefore time.Time
+	// lastOffered is the latest time as of which other daemons advertised content that this one still
+	// has to fetch. fetchFailed is set if a fetch brought nothing newer than lastReceived.
+	lastOffered time.Time
+	fetchFailed bool
+	// readerHeardAt is when a daemon that ranks before this one and doesn't miss the store's answers was
+	// last heard.
+	readerHeardAt time.Time
 	// storeLostAt is when a daemon that reads was last known to be alive and without an answer from
 	// the store.
 	storeLostAt time.Time
@@ -172,19 +179,23 @@
 // the store's acknowledgement, which is the users' smallest bound. The third in rank reads after
 // 2.2 s.
 const (
-	// A daemon reads once the content that it received last is older than takeOverAfter plus
-	// takeOverStep for each daemon that ranks before it.
+	// A daemon reads once the content that it received last, or fetches now, is older than
+	// takeOverAfter plus takeOverStep for each daemon that ranks before it.
 	takeOverAfter = 1800 * time.Millisecond
 	takeOverStep  = 200 * time.Millisecond
 	// takeOverSteps bounds the delay: the fourth in rank and all behind it wait equally long.
 	takeOverSteps = 3
+	// readerHeardStep is the additional delay while a daemon that ranks before is heard and doesn't
+	// report that the store fails to answer: it is receiving a large answer, or is slow. This one would
+	// only read the same. A call that hangs is reported in time for a takeover without this delay.
+	readerHeardStep = 800 * time.Millisecond
 	// storeLostStep is the additional delay per rank beyond takeOverSteps while a daemon that reads
 	// the store reports that it doesn't answer. It is unlikely to answer this one either, unless it
 	// refuses just that one. Without this delay every daemon would call a store that refuses calls.
 	// storeLostRanks bounds the delay, in case the store serves only daemons far back in rank.
 	storeLostStep  = time.Second
 	storeLostRanks = 8
-	// storeLostWindow is how long such a report counts: two periods of the reports that carry it,
+	// storeLostWindow is how long such a report counts, or one without it: two periods of the reports,
 	// and their transit time.
 	storeLostWindow = 1200 * time.Millisecond
 	// maxFreshAge is the age up to which content advertised by a daemon that ranks before makes
@@ -196,13 +207,42 @@
 // daemon read it. ranksBefore says that it was another daemon, which ranks before this one.
 func (r *ReaderElection) Received(asOf time.Time, ranksBefore bool) {
 	if asOf.After(r.lastReceived) {
-		r.lastReceived = asOf
+		r.lastReceived, r.fetchFailed = asOf, false
 	}
 	if ranksBefore && asOf.After(r.lastFromRankedBefore) {
 		r.lastFromRankedBefore = asOf
 	}
 }
 
+// Offered records that another daemon advertised the store's content as of a time, and that this
+// daemon fetches what it lacks of it. While it does, it doesn't read the store: a large bundle would
+// reach it as a whole instead of as an update.
+func (r *ReaderElection) Offered(asOf time.Time) {
+	if asOf.After(r.lastOffered) {
+		r.lastOffered = asOf
+	}
+}
+
+// Fetched records the end of a fetch. asOf is the time as of which this daemon now knows the store's
+// content.
+func (r *ReaderElection) Fetched(asOf time.Time) {
+	r.fetchFailed = !asOf.After(r.lastReceived)
+	r.Received(asOf, false)
+}
+
+// lastKnown returns the time as of which this daemon has the store's content or will have it once a
+// fetch ends.
+func (r *ReaderElection) lastKnown() time.Time {
+	if r.fetchFailed || r.lastReceived.After(r.lastOffered) {
+		return r.lastReceived
+	}
+	return r.lastOffered
+}
+
+// ReaderHeard records a report of a daemon that ranks before this one, which doesn't miss the store's
+// answers.
+func (r *ReaderElection) ReaderHeard(at time.Time) { r.readerHeardAt = at }
+
 // ReportStoreLost records that a daemon which reads the store is alive and has no answer from it.
 func (r *ReaderElection) ReportStoreLost(at time.Time) { r.storeLostAt = at }
 
@@ -211,6 +251,17 @@
 	return now.Sub(r.storeLostAt) <= storeLostWindow
 }
 
+// Reads reports whether this daemon read the store by the last call of ShouldRead.
+func (r *ReaderElection) Reads() bool { return r.reading }
+
+// Age returns how old the content is that this daemon received last, zero if it received none.
+func (r *ReaderElection) Age(now time.Time) time.Duration {
+	if r.lastReceived.IsZero() {
+		return 0
+	}
+	return now.Sub(r.lastReceived)
+}
+
 // ShouldRead reports whether this daemon, which has the given rank, reads the store now.
 func (r *ReaderElection) ShouldRead(rank int, now time.Time) bool {
 	switch {
@@ -220,10 +271,13 @@
 		r.reading = now.Sub(r.lastFromRankedBefore) > maxFreshAge
 	default:
 		wait := takeOverAfter + time.Duration(min(rank, takeOverSteps))*takeOverStep
-		if r.StoreReportedLost(now) {
+		switch {
+		case !r.StoreReportedLost(now) && now.Sub(r.readerHeardAt) <= storeLostWindow:
+			wait += readerHeardStep
+		case r.StoreReportedLost(now):
 			wait += time.Duration(min(max(0, rank-takeOverSteps), storeLostRanks)) * storeLostStep
 		}
-		r.reading = now.Sub(r.lastReceived) > wait
+		r.reading = now.Sub(r.lastKnown()) > wait
 	}
 	return r.reading
 }
--- a/internal/connection/peer/reader_test.go
+++ b/internal/connection/peer/reader_test.go
@@ -47,6 +47,60 @@
 
 	now := time.Unix(1_000_000, 0)
 
+	// Guards against a whole bundle read from the store by each host that is slow to fetch the update to
+	// it, and against hosts that wait for a fetch that brings nothing or for a store reader that has failed.
+	DescribeTable("keeps a daemon from reading the store while it fetches what the store reader advertises",
+		func(afterOffer func(r *peer.ReaderElection, at time.Time), reads bool) {
+			var r peer.ReaderElection
+			r.Received(now, true)
+			at := now
+			for range 6 { // Advertisements of content that is fetched meanwhile.
+				at = at.Add(500 * time.Millisecond)
+				r.Offered(at)
+				Expect(r.ShouldRead(1, at)).To(BeFalse())
+			}
+			afterOffer(&r, at)
+			Expect(r.ShouldRead(1, at.Add(400*time.Millisecond))).To(Equal(reads))
+		},
+		Entry("while the fetch lasts", func(*peer.ReaderElection, time.Time) {}, false),
+		Entry("not if the fetch fails", func(r *peer.ReaderElection, _ time.Time) { r.Fetched(now) }, true),
+		Entry("if the next one fails after one that succeeded",
+			func(r *peer.ReaderElection, at time.Time) {
+				r.Fetched(at)
+				r.Offered(at.Add(100 * time.Millisecond))
+				r.Fetched(at)
+			}, false),
+	)
+
+	// Guards against hosts that all read a large bundle since the store reader takes long to receive it, and
+	// against a later takeover from a reader that is frozen or has lost the store.
+	DescribeTable("waits longer for a store reader that is heard",
+		func(heard, lost time.Duration, takesOver time.Duration) {
+			var r peer.ReaderElection
+			r.Received(now, true)
+			if heard > 0 {
+				r.ReaderHeard(now.Add(heard))
+			}
+			if lost > 0 {
+				r.ReportStoreLost(now.Add(lost))
+			}
+			Expect(r.ShouldRead(1, now.Add(takesOver))).To(BeFalse())
+			Expect(r.ShouldRead(1, now.Add(takesOver+time.Millisecond))).To(BeTrue())
+		},
+		Entry("that was heard before the takeover", 1900*time.Millisecond, time.Duration(0), 2800*time.Millisecond),
+		Entry("not if it is silent", time.Duration(0), time.Duration(0), 2*time.Second),
+		Entry("not if it was frozen after its last advertisement", 100*time.Millisecond, time.Duration(0), 2*time.Second),
+		Entry("not if it has lost the store", 1900*time.Millisecond, 1500*time.Millisecond, 2*time.Second),
+	)
+
+	It("lets a daemon read the store if the reader fails during a fetch", func() {
+		var r peer.ReaderElection
+		r.Received(now, true)
+		r.Offered(now.Add(500 * time.Millisecond))
+		Expect(r.ShouldRead(1, now.Add(2400*time.Millisecond))).To(BeFalse())
+		Expect(r.ShouldRead(1, now.Add(2600*time.Millisecond))).To(BeTrue())
+	})
+
 	// The store refuses all calls for 6.5 s. If every daemon called it after 2.4 s without an
 	// advertisement and kept doing so, 195 daemons would make 1,500 additional calls, each refused
 	// and paid for, on an overloaded store. The first few readers report that it doesn't answer
--- a/internal/process/cookiedaemon/advertisement.go
+++ b/internal/process/cookiedaemon/advertisement.go
@@ -142,6 +142,8 @@
 	if !lacksList && !lacksBundle && !lacksEvacuated {
 		d.election.Received(confirmed, v.RanksBefore(a.From))
 		d.confirmBundleAt(confirmed, a.BundleAsOf)
+	} else {
+		d.election.Offered(confirmed)
 	}
 	d.mu.Unlock()
 	d.data.resets(resets)
--- a/internal/process/cookiedaemon/catalog.go
+++ b/internal/process/cookiedaemon/catalog.go
@@ -55,6 +55,7 @@
 		if err != nil {
 			klog.V(1).InfoS("Catalog not fetched", "From", from, "Error", err)
 		}
+		m.daemon.noteFetched()
 		pause := pullPause/2 + rand.N(pullPause)
 		if urgent || partial {
 			pause = urgentPause
@@ -63,6 +64,13 @@
 	})
 }
 
+// noteFetched records the end of a fetch in the background, whether it succeeded or not.
+func (d *Daemon) noteFetched() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.election.Fetched(d.state.confirmedAll())
+}
+
 // fetch requests from another daemon what this one lacks: a newer bundle, changed upstreams and, if
 // joining is set, the first members to contact and deregistered upstreams. timeout bounds the time
 // until the answer begins. It reports whether the answer held changes of the list only.
--- a/internal/process/cookiedaemon/follower.go
+++ b/internal/process/cookiedaemon/follower.go
@@ -47,6 +47,10 @@
 	// not have stale pages.
 	listing *objects.Listing[T]
 	fresh   bool
+	// withoutWait is set if the next watch must not wait for a change, since the last one failed while it
+	// waited. Its answer confirms what is known as soon as the store answers again, before other daemons
+	// take over and read all that has changed.
+	withoutWait bool
 	// stalls counts watches that the store doesn't answer although it answers other calls.
 	stalls objects.StallDetector
 	// starting reports that the list was begun before the daemon could place flows.
@@ -159,7 +163,12 @@
 		return next, err == nil, err
 	}
 	before := f.daemon.positionOf(f.kind)
-	ch, err := f.listWatcher.Watch(ctx, asOf, time.Duration(f.daemon.cfg.Load().WatchWait))
+	wait := time.Duration(f.daemon.cfg.Load().WatchWait)
+	if f.withoutWait {
+		wait = 0
+	}
+	ch, err := f.listWatcher.Watch(ctx, asOf, wait)
+	f.withoutWait = err != nil && wait > 0
 	if err == nil {
 		err = f.checkAnswer(ch.AsOf, before, time.Now())
 	}
--- a/internal/process/cookiedaemon/follower_test.go
+++ b/internal/process/cookiedaemon/follower_test.go
@@ -8,8 +8,10 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/fescueshed/fescueshed/internal/process/settings"
+	"github.com/fescueshed/fescueshed/internal/version/bundle"
 	"github.com/fescueshed/fescueshed/internal/version/objects"
 	"github.com/fescueshed/fescueshed/internal/version/registry"
+	"github.com/fescueshed/fescueshed/internal/version/transfer"
 )
 
 // busyFeed is a store that serves only stale pages at first, and has too many changes since them.
@@ -152,3 +154,34 @@
 	g.Expect(feed.watched).To(Equal([]objects.Position{11, 21, 31}))
 	g.Expect(d.outdatedAnswers[kindUpstreams].Load()).To(BeZero())
 }
+
+// silentFeed is a store that leaves every second watch unanswered.
+type silentFeed struct {
+	pagedFeed
+	waits []time.Duration
+}
+
+func (f *silentFeed) Watch(_ context.Context, from objects.Position, wait time.Duration) (objects.Changes[int], error) {
+	f.waits = append(f.waits, wait)
+	if len(f.waits)%2 == 1 {
+		return objects.Changes[int]{}, transfer.ErrStalled
+	}
+	return objects.Changes[int]{AsOf: from}, nil
+}
+
+// Guards against a reader whose content stays outdated for the wait of another watch after the store left one
+// unanswered: other daemons would take over and read all that has changed.
+func TestFollowerDoesNotWaitAfterUnansweredWatch(t *testing.T) {
+	g := NewWithT(t)
+	feed := &silentFeed{}
+	const wait = 800 * time.Millisecond
+	d := &Daemon{start: newStartup(time.Now(), false), state: storeState{catalog: registry.NewCatalog()}}
+	d.cfg.Store(&settings.Cookie{WatchWait: bundle.Duration(wait)})
+	f := &follower[int]{
+		daemon: d, listWatcher: feed, objectHandler: objectHandler[int]{changes: func(objects.Changes[int], time.Time) {}},
+	}
+	for range 4 {
+		_, _, _ = f.step(t.Context(), 5)
+	}
+	g.Expect(feed.waits).To(Equal([]time.Duration{wait, 0, wait, 0}))
+}
--- a/internal/process/cookiedaemon/large_test.go
+++ b/internal/process/cookiedaemon/large_test.go
@@ -169,6 +169,21 @@
 	g.Expect(after - before).To(BeNumerically("<=", changeBytes))
 }
 
+// Guards against a host that takes as long for a large update as others wait for a failed store reader,
+// and then reads the whole bundle from the store as well, although the reader is alive: the two share
+// the host's link.
+func TestLargeUpdateIsNotReadFromStoreWhileItIsFetched(t *testing.T) {
+	g := NewWithT(t)
+	w := incompressibleWorld(t, 2)
+	_, small := largePair(t, w)
+	w.LimitLink(w.Hosts[1], slowLink)
+	w.AddIdleRoutes(manyRoutes)
+	before := small.metric(t, "fescueshed_store_answers_bytes_total")
+	v := w.Roll()
+	g.Eventually(small.Version, maxWait).Should(Equal(v))
+	g.Expect(small.metric(t, "fescueshed_store_answers_bytes_total") - before).To(BeNumerically("<=", changeBytes))
+}
+
 // The store reader fails. Guards against daemons that take over and list the large bundle that they
 // have in force, only to get the revision to watch from. On slow links that takes longer than the
 // take-over may.
--- a/internal/process/cookiedaemon/loads.go
+++ b/internal/process/cookiedaemon/loads.go
@@ -101,6 +101,9 @@
 // zone, the load of another zone, and the counts of a member and its children.
 func (m *members) receiveReport(r *peer.Report, now time.Time) {
 	v := m.view.Load()
+	if !r.StoreLost && !r.DeadOnly && v.RanksBefore(r.From) {
+		m.daemon.noteReaderHeard(now)
+	}
 	if r.StoreLost && m.daemon.noteStoreLost(now) && !r.IsSum {
 		m.sendLoads(now) // Its own zone needs this report.
 	}
--- a/internal/process/cookiedaemon/store.go
+++ b/internal/process/cookiedaemon/store.go
@@ -60,7 +60,13 @@
 	if !d.canPlaceFlowsLocked() {
 		return false
 	}
-	return d.election.ShouldRead(d.start.ReaderRank(rank, now), now)
+	before, age := d.election.Reads(), d.election.Age(now)
+	reads := d.election.ShouldRead(d.start.ReaderRank(rank, now), now)
+	if reads != before {
+		klog.InfoS("Store reading changed", "Reads", reads, "Rank", rank, "ContentAge", age.Round(time.Millisecond),
+			"Fetching", d.members.fetching.Load())
+	}
+	return reads
 }
 
 func (d *Daemon) listUpstreams(s objects.Snapshot[registry.Registration], now time.Time) {
@@ -99,6 +105,13 @@
 	return !reported
 }
 
+// noteReaderHeard records that a daemon that ranks before this one doesn't miss the store's answers.
+func (d *Daemon) noteReaderHeard(now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.election.ReaderHeard(now)
+}
+
 // storeLost reports whether this daemon's own calls of the store fail, and whether it has no recent
 // content of the store from any source. A call that hangs is detected only after a second and a
 // half, when the whole zone would have turned to the store.
--- a/internal/version/objects/client.go
+++ b/internal/version/objects/client.go
@@ -41,7 +41,7 @@
 
 // WatchCall returns a call that waits for changes, with its timeout and MaxBytes set.
 func WatchCall(wait time.Duration) Call {
-	return Call{Timeout: wait + firstByteTimeout, MaxBytes: maxWatchBytes}
+	return Call{Timeout: max(wait+firstByteTimeout, minWatchTimeout), MaxBytes: maxWatchBytes}
 }
 
 var (
@@ -81,6 +81,9 @@
 	// firstByteTimeout is how long an answer may take to begin, in addition to the wait of a watch. The
 	// users' store answers in 4 ms, and in 240 ms when it is slow. A dead connection costs this long.
 	firstByteTimeout = 700 * time.Millisecond
+	// minWatchTimeout is how long the answer to any watch may take to begin: a store under load takes as long
+	// to assemble large changes for a watch that doesn't wait.
+	minWatchTimeout = 1500 * time.Millisecond
 	// maxWatchBytes bounds the answer of a watch. It is more than the largest object, one megabyte. A watch
 	// returns each version of an object that changed repeatedly, a list only the last. If an operator
 	// changes a bundle of 600 KB ten times while the store is unavailable, a watch of all versions would
