admission: hosts that start in a shortage know what the others know

What callers saw: half of the hosts restart while a service is short.

Change: a daemon that starts asks the member from which it fetches the catalog for the state of admission control first (Admission.Get, sealed like the others; 100 ms at most; members that don't know the call are passed over), so it knows the shares before it can place flows. Until a window is complete, it reports the counts since its start, scaled to a window. Daemons without admission control neither ask nor report. One call for each start: its cost doesn't grow with the fleet. If all hosts start at once, none has a state to give, as before.

Loads and ClassReport take the time; tests pass it, their checks are unchanged. Not changed by this: TestRefusalsEndWithinOneSecond.

--- a/internal/connection/admission/control.go
+++ b/internal/connection/admission/control.go
@@ -18,6 +18,9 @@
 	maxClasses = 64
 	// utilizationSmoothing is the weight of the latest window in the utilization.
 	utilizationSmoothing = 0.7
+	// minStartSpan is the least time after a start whose counts are scaled to a window: the counts of less
+	// say little.
+	minStartSpan = 60 * time.Millisecond
 	// routeInterval is the time in which each route gets at least one new flow at each host, so that
 	// no class is starved.
 	routeInterval = time.Second
@@ -37,6 +40,10 @@
 	phase  float64
 	// updated is when the last update was applied, zero before the first.
 	updated time.Time
+	// startedAt is when the host started, zero if Start wasn't called. rotations is the number of windows
+	// that ended since.
+	startedAt time.Time
+	rotations int
 }
 
 // New returns a control that admits everything until it knows of a shortage.
@@ -44,6 +51,10 @@
 	return &Control{services: make(map[string]*service), routes: make(map[string]time.Time)}
 }
 
+// Start notes that the host starts now: until a window is complete, Loads returns what was counted since,
+// scaled to the length of a window.
+func (c *Control) Start(now time.Time) { c.startedAt, c.rotations = now, 0 }
+
 // Class returns the counter of a class and creates it at first use. It stays valid. Counters are
 // kept for good: a class is only created from a service and a priority of a bundle.
 func (c *Control) Class(service string, priority int) *Counter {
@@ -106,6 +117,7 @@
 
 // Rotate ends a window.
 func (c *Control) Rotate() {
+	c.rotations++
 	for _, s := range c.services {
 		for _, k := range s.classes {
 			k.last, k.current = k.current, Load{Class: k.current.Class}
@@ -113,19 +125,33 @@
 	}
 }
 
-// Loads returns the counts of the last complete window, without classes whose counts are all zero.
-func (c *Control) Loads() []Load {
+// Loads returns the counts of the last complete window, without classes whose counts are all zero. A host
+// that has just started would otherwise report a window in which it ran for a part of the time, or none:
+// the sums of all zones would show less load than there is, and all hosts would admit too much.
+func (c *Control) Loads(now time.Time) []Load {
+	sinceStart := now.Sub(c.startedAt)
+	if !c.hasStarted() && sinceStart < minStartSpan {
+		return nil
+	}
 	var out []Load
 	for _, s := range c.services {
 		for _, k := range s.classes {
-			if !k.last.isZero() {
-				out = append(out, k.last)
+			l := k.last
+			if !c.hasStarted() {
+				l.add(&k.current)
+				l = l.scaled(float64(Window) / float64(sinceStart))
+			}
+			if !l.isZero() {
+				out = append(out, l)
 			}
 		}
 	}
 	return Sum(out)
 }
 
+// hasStarted reports whether the last window is complete.
+func (c *Control) hasStarted() bool { return c.startedAt.IsZero() || c.rotations > 1 }
+
 // Update is what is known of the loads of all reachable zones.
 type Update struct {
 	Loads []Load
--- a/internal/connection/admission/load.go
+++ b/internal/connection/admission/load.go
@@ -52,6 +52,15 @@
 	}
 }
 
+// scaled returns the load multiplied by a factor.
+func (l *Load) scaled(factor float64) Load {
+	count := func(n uint32) uint32 { return uint32(min(factor*float64(n), math.MaxUint32)) }
+	return Load{
+		Class: l.Class, Offered: count(l.Offered), Admitted: count(l.Admitted), Requests: count(l.Requests),
+		Answered: count(l.Answered), Busy: time.Duration(min(factor*float64(l.Busy), math.MaxInt64/2)),
+	}
+}
+
 func addCount(a, b uint32) uint32 {
 	return uint32(min(uint64(a)+uint64(b), math.MaxUint32))
 }
--- a/internal/connection/admission/load_test.go
+++ b/internal/connection/admission/load_test.go
@@ -37,13 +37,13 @@
 		k.StartRequest()
 		k.AnswerRequest(40*time.Millisecond, epoch)
 		k.AnswerRequest(-time.Millisecond, epoch)
-		Expect(c.Loads()).To(BeEmpty())
+		Expect(c.Loads(epoch)).To(BeEmpty())
 		c.Rotate()
-		Expect(c.Loads()).To(Equal([]admission.Load{
+		Expect(c.Loads(epoch)).To(Equal([]admission.Load{
 			{Class: class("a", 1), Offered: 1, Admitted: 1, Requests: 1, Answered: 2, Busy: 40 * time.Millisecond},
 		}))
 		c.Rotate()
-		Expect(c.Loads()).To(BeEmpty())
+		Expect(c.Loads(epoch)).To(BeEmpty())
 		Expect(c.Class("a", 1)).To(BeIdenticalTo(k))
 	})
 })
--- a/internal/connection/admission/loop_test.go
+++ b/internal/connection/admission/loop_test.go
@@ -155,7 +155,8 @@
 		for _, h := range l.hosts {
 			h.Rotate()
 		}
-		sum := admission.Sum(l.hosts[0].Loads(), l.hosts[1].Loads(), l.hosts[2].Loads(), l.hosts[3].Loads())
+		now := l.time()
+		sum := admission.Sum(l.hosts[0].Loads(now), l.hosts[1].Loads(now), l.hosts[2].Loads(now), l.hosts[3].Loads(now))
 		busy := 0
 		for ms := range loopWindow {
 			for _, h := range l.hosts {
--- a/internal/connection/cookie/class.go
+++ b/internal/connection/cookie/class.go
@@ -97,12 +97,12 @@
 
 // ClassReport returns what this balancer counted by class in the last complete window, nil without
 // admission control.
-func (e *Engine) ClassReport(self peer.ID) *peer.ClassReport {
+func (e *Engine) ClassReport(self peer.ID, now time.Time) *peer.ClassReport {
 	if e.opts.Admission == nil {
 		return nil
 	}
 	out := &peer.ClassReport{From: self, Zone: e.opts.Zone}
-	for _, l := range e.opts.Admission.Loads() {
+	for _, l := range e.opts.Admission.Loads(now) {
 		out.Classes = append(out.Classes, peer.ClassLoad{
 			Service: l.Service, Priority: uint32(l.Priority), Offered: l.Offered, Admitted: l.Admitted,
 			Requests: l.Requests, Answered: l.Answered, BusyMillis: uint32(l.Busy.Milliseconds()),
--- a/internal/connection/cookie/class_test.go
+++ b/internal/connection/cookie/class_test.go
@@ -86,7 +86,7 @@
 	It("counts the time at the upstream without the round trip", func() {
 		openAndAsk(newCaller(1, feedAt))
 		e.RotateClasses()
-		report := e.ClassReport(1)
+		report := e.ClassReport(1, start)
 		Expect(report.Classes).To(HaveLen(1))
 		l := report.Classes[0]
 		Expect(l.Service).To(Equal("feed"))
@@ -102,7 +102,7 @@
 		e.Paused(now.Add(2 * time.Second))
 		e.Decide(c.ackPacket(500), now.Add(2*time.Second+work))
 		e.RotateClasses()
-		Expect(e.ClassReport(1).Classes[0].BusyMillis).To(BeNumerically("<=", work.Milliseconds()))
+		Expect(e.ClassReport(1, start).Classes[0].BusyMillis).To(BeNumerically("<=", work.Milliseconds()))
 	})
 
 	// Guards against a refusal that isn't true, and against urgent callers who pay for the others.
@@ -154,7 +154,7 @@
 	It("sends and counts nothing where it is off", func() {
 		off := newEngine(registrations(2))
 		off.RotateClasses()
-		Expect(off.ClassReport(1)).To(BeNil())
+		Expect(off.ClassReport(1, start)).To(BeNil())
 		Expect(off.ApplyClassReport(&peer.ClassReport{From: 1}, now)).To(BeEmpty())
 		Expect(off.AdmissionStatus(now)).To(BeNil())
 	})
--- a/internal/connection/peer/codec.go
+++ b/internal/connection/peer/codec.go
@@ -23,6 +23,7 @@
 	DomainCatalog             Domain = "fescueshed catalog 5\n"
 	DomainPackedCatalog       Domain = "fescueshed packed catalog 1\n"
 	DomainMemberList          Domain = "fescueshed members 1\n"
+	DomainAdmission           Domain = "fescueshed admission 1\n"
 )
 
 // checked is a pointer to a wire type that validates itself after decoding.
--- a/internal/process/cookiedaemon/catalog.go
+++ b/internal/process/cookiedaemon/catalog.go
@@ -227,13 +227,16 @@
 	return nil
 }
 
-// handleRPC answers requests of other daemons: for the members or the catalog that this daemon knows.
+// handleRPC answers requests of other daemons: for the members, the catalog or the state of admission
+// control that this daemon knows.
 func (m *members) handleRPC(_ context.Context, _ *jsonrpc2.Conn, r *jsonrpc2.Request) (any, error) {
 	switch r.Method {
 	case peer.MethodMembers:
 		return m.answerMembers(r)
 	case peer.MethodCatalog, peer.MethodPackedCatalog:
 		return m.answerCatalog(r)
+	case peer.MethodAdmission:
+		return m.answerAdmission()
 	}
 	return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "unknown method " + r.Method}
 }
--- a/internal/process/cookiedaemon/classes.go
+++ b/internal/process/cookiedaemon/classes.go
@@ -72,7 +72,7 @@
 		return
 	}
 	v := m.view.Load()
-	m.classes.put(m.daemon.ownClasses(v.Self), now)
+	m.classes.put(m.daemon.ownClasses(v.Self, now), now)
 	sum := m.classes.sum(v.Self, v.Reporters(), now)
 	if p := v.Parent(); p != nil {
 		send(m, protocolClasses, m.classReports, sum, []*peer.Member{p})
@@ -115,10 +115,10 @@
 }
 
 // ownClasses returns what this daemon counts by class.
-func (d *Daemon) ownClasses(self peer.ID) *peer.ClassReport {
+func (d *Daemon) ownClasses(self peer.ID, now time.Time) *peer.ClassReport {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.engine.ClassReport(self)
+	return d.engine.ClassReport(self, now)
 }
 
 // applyClasses applies the total of the counts by class.
--- a/internal/process/cookiedaemon/classes_daemons_test.go
+++ b/internal/process/cookiedaemon/classes_daemons_test.go
@@ -100,7 +100,8 @@
 	})
 
 	// All callers send to one member of zone-1 that isn't its store reader. Guards against a balancer that decides by
-	// what it counts itself, and against flows that are counted under another class or not at all.
+	// what it counts itself, against flows that are counted under another class or not at all, and against a balancer
+	// that starts in a shortage and admits everyone until its first sum.
 	It("refuse flows of a service that others found short of capacity", func() {
 		w := openWorld(GinkgoT(), world.Options{Seed: 1, Hosts: 1, Upstreams: 6, Callers: 40, Admission: true})
 		start := func(h *world.Host, change func(cfg *settings.Cookie)) *node { return openNode(GinkgoT(), w, h, change) }
@@ -140,6 +141,9 @@
 				return n.refuses(w, i)
 			}, maxWait).Should(BeTrue())
 		}
+		late := start(add(), func(cfg *settings.Cookie) { cfg.Zone = "zone-1" })
+		Eventually(late.Ready, maxWait, time.Millisecond).Should(BeTrue())
+		Expect(late.feedAdmission().Short || !others[0].feedAdmission().Short).To(BeTrue(), "it starts without what others know")
 		for _, n := range others {
 			Eventually(func() bool { return n.feedAdmission().Short }, maxWait).Should(BeFalse())
 		}
--- a/internal/process/cookiedaemon/daemon.go
+++ b/internal/process/cookiedaemon/daemon.go
@@ -116,7 +116,9 @@
 	if !cfg.Admission && !p.RequestsAdmission(cfg.PlatformTerms) {
 		return nil
 	}
-	return admission.New()
+	c := admission.New()
+	c.Start(time.Now())
+	return c
 }
 
 func (d *Daemon) startTimer(context.Context) (func(), error) {
--- a/internal/process/cookiedaemon/doc.go
+++ b/internal/process/cookiedaemon/doc.go
@@ -30,6 +30,7 @@
 //	evacuation.go
 //	members.go, memberlist.go,   membership of the other daemons: messages, lists, log lines
 //	memberlog.go
+//	admission.go                 fetching the state of admission control at the start
 //	advertisement.go, catalog.go advertising the store's content; fetching what advertisements don't cover
 //	loads.go, relay.go           load reports of the zone, relayed by its members
 //	probe.go                     health probes of suspected upstreams
--- a/internal/process/cookiedaemon/members.go
+++ b/internal/process/cookiedaemon/members.go
@@ -44,6 +44,7 @@
 	catalog        *peer.Codec[peer.Catalog, *peer.Catalog]
 	packedCatalogs *peer.Codec[peer.PackedCatalog, *peer.PackedCatalog]
 	memberLists    *peer.Codec[peer.MemberList, *peer.MemberList]
+	admission      *peer.Codec[peer.AdmissionState, *peer.AdmissionState]
 	loads          *zoneLoads
 	// classes is nil without admission control.
 	classes *zoneClasses
@@ -205,9 +206,13 @@
 	if m.memberLists, err = peer.NewCodec[peer.MemberList](k.Seal, peer.DomainMemberList); err != nil {
 		return err
 	}
+	if m.admission, err = peer.NewCodec[peer.AdmissionState](k.Seal, peer.DomainAdmission); err != nil {
+		return err
+	}
 	m.catalog.SetKeys(k)
 	m.packedCatalogs.SetKeys(k)
 	m.memberLists.SetKeys(k)
+	m.admission.SetKeys(k)
 	return nil
 }
 
@@ -220,6 +225,7 @@
 	m.catalog.SetKeys(k)
 	m.packedCatalogs.SetKeys(k)
 	m.memberLists.SetKeys(k)
+	m.admission.SetKeys(k)
 }
 
 // handleDatagram handles a datagram of another daemon, whose first byte is the protocol.
--- a/internal/process/cookiedaemon/start.go
+++ b/internal/process/cookiedaemon/start.go
@@ -126,6 +126,7 @@
 // greetAndFetch introduces this daemon to another one and fetches that one's catalog.
 func (m *members) greetAndFetch(to netip.AddrPort) {
 	m.update(func(g *peer.Membership) []peer.Envelope { return g.PingAddress(to) })
+	m.fetchAdmission(to)
 	if _, err := m.fetch(to, startFetchTimeout, true); err != nil {
 		klog.V(1).InfoS("Catalog not fetched from member", "Member", to, "Error", err)
 	}
--- a/internal/standin/emulator/classes.go
+++ b/internal/standin/emulator/classes.go
@@ -20,7 +20,7 @@
 	var reports []*peer.ClassReport
 	for _, h := range z.hosts {
 		if h.joined() {
-			r := h.engine.ClassReport(h.id)
+			r := h.engine.ClassReport(h.id, sim.wallTime())
 			if sim.changeClassReport != nil {
 				sim.changeClassReport(h, r)
 			}
--- a/internal/standin/emulator/host.go
+++ b/internal/standin/emulator/host.go
@@ -97,6 +97,10 @@
 		o.Admission = admission.New()
 	}
 	h.engine = cookie.NewEngine(o)
+	if o.Admission != nil && h.sim.now > 0 {
+		o.Admission.Start(h.sim.wallTime())
+		h.fetchAdmission()
+	}
 	h.catalog = registry.NewCatalog()
 	now := h.sim.wallTime()
 	h.engine.SetRouting(h.sim.routing, now)
@@ -114,6 +118,19 @@
 	}
 }
 
+// fetchAdmission takes over what a running host of the zone knows of the loads, as a daemon that starts does.
+func (h *host) fetchAdmission() {
+	for _, o := range h.zone.hosts {
+		if o == h || !o.runs() {
+			continue
+		}
+		if st := o.engine.AdmissionState(h.sim.wallTime()); len(st.Services) > 0 {
+			h.engine.RestoreAdmission(st, h.sim.wallTime())
+			return
+		}
+	}
+}
+
 // powerOff cuts the power of the host, which starts again after the time down.
 func (h *host) powerOff(down time.Duration) {
 	h.listening, h.ready, h.waiting, h.pausedUntil = false, false, nil, 0
