--- a/review/_standin/world.go
+++ b/review/_standin/world.go
@@ -128,7 +128,6 @@
 
 // extraAddress returns the address of a route that a later configuration adds.
 func extraAddress(i int) netip.AddrPort {
-
 	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{198, 18, byte(1 + i>>8), byte(i)}), 443)
 }
 
