--- a/review/_standin/flow.go
+++ b/review/_standin/flow.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net/netip"
 	"slices"
 	"strings"
 	"time"
@@ -27,6 +28,8 @@
 	rounds = 2
 	// otherService is a service that no configuration names.
 	otherService = "legacy"
+	// otherNet is the second byte of the addresses in the other writer's entries.
+	otherNet = 3
 )
 
 // runFlow restarts all balancers in turn as planned, while another writer stores entries with a service that isn't named.
@@ -79,7 +82,7 @@
 	for {
 		for _, b := range w.backends[:replaced] {
 			e := b.entry("ready")
-			e["service"] = otherService
+			e["service"], e["address"] = otherService, otherAddress(b.Address).String()
 			w.store.put("servers", b.name(), e)
 		}
 		select {
@@ -90,16 +93,26 @@
 	}
 }
 
+// otherAddress returns the address in the other writer's entry in place of a backend's. Nothing listens there.
+func otherAddress(a netip.AddrPort) netip.AddrPort {
+	ip := a.Addr().As4()
+	ip[1] = otherNet
+	return netip.AddrPortFrom(netip.AddrFrom4(ip), a.Port())
+}
+
 // judgeFlows writes what was sent, answered and run, and reports whether a reset ended an open flow whose backend lives
 // and didn't send it.
 func (w *world) judgeFlows(stats []flows.CallerStats) bool {
-	var sent, answered, opened, resets int
+	var sent, answered, opened, resets, lost int
 	for i := range stats {
 		sent += stats[i].Requests
 		answered += stats[i].Answered
 		opened += stats[i].Opened
 		for _, o := range stats[i].Outcomes {
 			w.record.noteAt(o.At, "client %d sent a request, answered: %t", i+1, o.Answered)
+			if !o.Answered {
+				lost++
+			}
 		}
 		for _, v := range stats[i].Violations {
 			if strings.Contains(v, "was reset") {
@@ -109,7 +122,7 @@
 		}
 	}
 	w.noteRuns()
-	w.record.note("flows opened: %d, requests sent: %d, answered: %d", opened, sent, answered)
+	w.record.note("flows opened: %d, requests sent: %d, answered: %d, never answered: %d", opened, sent, answered, lost)
 	w.record.note("open flows that were reset although their backend lives and didn't reset them: %d", resets)
 	return resets > 0
 }
--- a/review/_standin/world.go
+++ b/review/_standin/world.go
@@ -33,9 +33,10 @@
 	// sheetsShare is one in how many backends belongs to serviceSheets.
 	sheetsShare = 4
 	slots       = 2
-	workTime    = 10 * time.Millisecond
-	maxConns    = 2000
-	idleMs      = 15000
+	// workTime is that of a booking exchange at krl-colombo.
+	workTime = 29 * time.Millisecond
+	maxConns = 2000
+	idleMs   = 15000
 	// restartDelay is how long the platform takes to start a process again that has ended.
 	restartDelay = 600 * time.Millisecond
 	grace        = 6 * time.Second
