platform: an entry that no parser takes hides no others

No host learned of any later change of the upstreams.

Cause: decodePage had a JSON library decode the whole answer of a list or watch, items left encoded. The library refuses nesting beyond 10,000 levels, so one entry whose content is nested 9,997 levels made every answer fail that held it. The follower repeated the same call, and so did each host that took over from it. The metadata of an object were decoded with its content around it, so an entry in place of an upstream's own lost its name, and contacts could not be replaced.

An answer that can't be read is counted by kind and logged each second (fescueshed_store_answers_unreadable_total): before, only the first failure left a line, «Store lost».

The store stand-in encoded its answers with the same library; it puts them together from texts now, and the soak's other writer uses such contents too.

--- a/internal/process/cookiedaemon/daemon.go
+++ b/internal/process/cookiedaemon/daemon.go
@@ -60,7 +60,9 @@
 	// unusable counts stored objects that could not be used, once for each read.
 	unusable        atomic.Uint64
 	departure       departure
-	outdatedAnswers outdatedCounts
+	outdatedAnswers kindCounts
+	// unreadableAnswers counts answers that couldn't be decoded.
+	unreadableAnswers kindCounts
 
 	// mu guards the fields below.
 	mu            sync.Mutex
--- a/internal/process/cookiedaemon/epoch.go
+++ b/internal/process/cookiedaemon/epoch.go
@@ -11,9 +11,8 @@
 	"github.com/fescueshed/fescueshed/internal/version/objects"
 )
 
-// outdatedCounts counts, by kind, answers of the store as of an earlier position than was known
-// when the call began. It is safe for concurrent use.
-type outdatedCounts [numKinds]atomic.Uint64
+// kindCounts counts answers of the store by kind. It is safe for concurrent use.
+type kindCounts [numKinds]atomic.Uint64
 
 // outdatedLines is the limit of log lines per second about such answers of one kind.
 const outdatedLines = 2
--- a/internal/process/cookiedaemon/follower.go
+++ b/internal/process/cookiedaemon/follower.go
@@ -59,14 +59,15 @@
 	// begun.
 	positionBefore objects.Position
 	// unusableLimiter limits log lines about objects that can't be used, outdatedLimiter those
-	// about outdated answers.
-	unusableLimiter, outdatedLimiter *logs.Limiter
+	// about outdated answers, unreadableLimiter those about answers that can't be decoded.
+	unusableLimiter, outdatedLimiter, unreadableLimiter *logs.Limiter
 }
 
 func newFollower[T any](d *Daemon, k kind, listWatcher objects.ListWatcher[T], handler objectHandler[T]) *follower[T] {
 	return &follower[T]{
 		objectHandler: handler, daemon: d, kind: k, listWatcher: listWatcher,
 		unusableLimiter: logs.NewLimiter(unusableLines), outdatedLimiter: newOutdatedLimiter(),
+		unreadableLimiter: logs.NewLimiter(unreadableLines),
 	}
 }
 
@@ -86,6 +87,7 @@
 		asOf = f.resumeFrom(asOf)
 		began := time.Now()
 		next, changed, err := f.step(ctx, asOf)
+		f.countUnreadable(err)
 		switch {
 		case err == nil:
 			asOf, failures, lostHistories = next, 0, 0
@@ -138,9 +140,9 @@
 }
 
 // shouldRelist reports whether to replace a failed watch by a list: the watch would return too
-// much, or the store doesn't answer it although it answers other calls.
+// much or what can't be decoded, or the store doesn't answer it although it answers other calls.
 func (f *follower[T]) shouldRelist(err error, began time.Time) bool {
-	if eris.Is(err, objects.ErrTooLarge) {
+	if eris.Is(err, objects.ErrTooLarge) || eris.Is(err, objects.ErrUnreadable) {
 		return true
 	}
 	if !eris.Is(err, transfer.ErrStalled) {
@@ -273,8 +275,12 @@
 	}
 }
 
-// unusableLines is the limit of log lines per second about unusable objects of one kind.
-const unusableLines = 5
+const (
+	// unusableLines is the limit of log lines per second about unusable objects of one kind.
+	unusableLines = 5
+	// unreadableLines is the limit of log lines per second about answers that can't be decoded.
+	unreadableLines = 1
+)
 
 func (f *follower[T]) unusable(err error) {
 	f.daemon.unusable.Add(1)
@@ -283,6 +289,18 @@
 	}
 }
 
+// countUnreadable counts an answer that can't be decoded and logs it. The same call is repeated until the store's content
+// changes, so a single line when the calls begin to fail isn't enough.
+func (f *follower[T]) countUnreadable(err error) {
+	if !eris.Is(err, objects.ErrUnreadable) {
+		return
+	}
+	f.daemon.unreadableAnswers[f.kind].Add(1)
+	if left, ok := f.unreadableLimiter.Allow(time.Now()); ok {
+		klog.ErrorS(err, "Store's answer can't be decoded", "Kind", f.kind, "LeftOut", left)
+	}
+}
+
 // noteFailure records a failed call and fetches the catalog of a member in another zone: this whole
 // zone may have lost the store while other zones reach it.
 func (f *follower[T]) noteFailure(err error) {
--- a/internal/process/cookiedaemon/http.go
+++ b/internal/process/cookiedaemon/http.go
@@ -96,6 +96,7 @@
 	s.NewGauge("fescueshed_store_epoch", func() float64 { return float64(d.storeEpoch()) })
 	for k := range numKinds {
 		count(fmt.Sprintf("fescueshed_store_answers_outdated_total{kind=%q}", k), d.outdatedAnswers[k].Load)
+		count(fmt.Sprintf("fescueshed_store_answers_unreadable_total{kind=%q}", k), d.unreadableAnswers[k].Load)
 		s.NewGauge(fmt.Sprintf("fescueshed_store_revision{kind=%q}", k), func() float64 {
 			return float64(d.positionOf(k).Revision())
 		})
--- /dev/null
+++ b/internal/process/cookiedaemon/otherwriter_test.go
@@ -0,0 +1,104 @@
+package cookiedaemon_test
+
+import (
+	"strings"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/fescueshed/fescueshed/internal/standin/world"
+	"github.com/fescueshed/fescueshed/internal/version/bundle"
+	"github.com/fescueshed/fescueshed/platform/wire"
+)
+
+// otherContents are contents that no parser takes.
+var otherContents = map[string]string{
+	"nested as deeply as the store takes it": `{"service":` + nested(9997) + `}`,
+	"nested more deeply than any parser":     nested(300_000),
+	"a text without end":                     `{"service":"fe`,
+	"brackets that don't match":              `[{]`,
+	"nothing":                                ``,
+}
+
+func nested(depth int) string { return strings.Repeat("[", depth) + strings.Repeat("]", depth) }
+
+// kindContacts is the kind of the object with the daemons' contacts.
+const kindContacts = "fescueshed-contacts"
+
+// Guards against a drain, a bundle or an evacuation that daemons never learn of because another writer's entry stands in
+// the same answer of the store, and against daemons that don't become ready because of it.
+func TestOtherWritersEntryDoesNotHideChanges(t *testing.T) {
+	for name, spec := range otherContents {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			g := NewWithT(t)
+			w := openWorld(t, world.Options{Seed: 1, Hosts: 3, Upstreams: 12, Callers: 12})
+			nodes := openAll(t, w)
+			for _, kind := range []string{wire.KindServers, wire.KindConfig, wire.KindEvacuations, kindContacts} {
+				w.Store.PutSpec(kind, "a-report", spec)
+				w.Store.PutSpec(kind, "z-report", spec)
+			}
+			g.Expect(w.DrainUpstream()).To(BeTrue())
+			v := w.Roll()
+			w.Store.Put(wire.KindEvacuations, "zone-2", struct{}{})
+			h, err := w.AddHost(t.Context())
+			g.Expect(err).NotTo(HaveOccurred())
+			h.Seeds = nil // It learns everything from the store.
+			nodes = append(nodes, openNode(t, w, h))
+			g.Eventually(inForce(nodes, v), maxWait).Should(BeTrue())
+			for _, n := range nodes {
+				g.Eventually(n.Ready, maxWait).Should(BeTrue())
+				g.Eventually(n.AvailableUpstreams, maxWait).Should(Equal(11))
+				g.Eventually(n.Evacuated, maxWait).Should(ContainElement(bundle.Zone("zone-2")))
+			}
+		})
+	}
+}
+
+// Guards against an upstream that gets new flows by its former entry because the entry that replaces it, which no parser
+// takes, isn't recognized as its own.
+func TestOtherWritersEntryInPlaceOfUpstreams(t *testing.T) {
+	for name, spec := range otherContents {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			g := NewWithT(t)
+			w := openWorld(t, world.Options{Seed: 1, Hosts: 3, Upstreams: 12, Callers: 12})
+			nodes := openAll(t, w)
+			w.Store.PutSpec(wire.KindServers, w.EntryNames()[0], spec)
+			for _, n := range nodes {
+				g.Eventually(n.AvailableUpstreams, maxWait).Should(Equal(11))
+				g.Expect(n.Upstreams()).To(Equal(12), "open flows go on")
+			}
+		})
+	}
+}
+
+// Guards against hosts that never find the others because nobody can replace contacts that no parser takes.
+func TestOtherWritersContactsAreReplaced(t *testing.T) {
+	for name, spec := range otherContents {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			g := NewWithT(t)
+			w := openWorld(t, world.Options{Seed: 1, Hosts: 3, Upstreams: 12, Callers: 12})
+			w.Store.PutSpec(kindContacts, "main", spec)
+			openAll(t, w)
+			g.Eventually(func() string { return w.Store.Content(kindContacts, "main") }, maxWait).Should(ContainSubstring("host-1"))
+		})
+	}
+}
+
+// Guards against a host that says nothing of an answer of the store that it can't decode and asks for again and again.
+func TestUnreadableAnswersAreCounted(t *testing.T) {
+	g := NewWithT(t)
+	w := openWorld(t, world.Options{Seed: 1, Hosts: 1, Upstreams: 12, Callers: 12})
+	n := openAll(t, w)[0]
+	w.Store.PutRaw(wire.KindServers, "z-report", func(uint64) string { return `{"meta"` })
+	g.Eventually(func() int { return n.metric(t, `fescueshed_store_answers_unreadable_total{kind="Registrations"}`) }, maxWait).
+		Should(BeNumerically(">", 1))
+	g.Eventually(func() int { return n.metric(t, `fescueshed_store_kind_age_seconds{kind="Registrations"}`) }, maxWait).
+		Should(BeNumerically(">", 2))
+	g.Expect(n.Ready()).To(BeTrue(), "it serves on with what it knows")
+	w.Store.Delete(wire.KindServers, "z-report")
+	g.Expect(w.DrainUpstream()).To(BeTrue())
+	g.Eventually(n.AvailableUpstreams, maxWait).Should(Equal(11))
+}
--- a/internal/standin/metadata/objects.go
+++ b/internal/standin/metadata/objects.go
@@ -24,7 +24,7 @@
 }
 
 // EncodeSpec returns the JSON of an upstream's entry as the store holds it.
-func EncodeSpec(s *wire.Server) string { return string(encode(s)) }
+func EncodeSpec(s *wire.Server) string { return encode(s) }
 
 // Deregister removes the registration entry of an upstream.
 func (s *Store) Deregister(id bundle.UpstreamID) { s.Delete(wire.KindServers, EntryName(id)) }
--- a/internal/standin/metadata/store.go
+++ b/internal/standin/metadata/store.go
@@ -1,6 +1,8 @@
 package metadata
 
 import (
+	"fmt"
+	"io"
 	"maps"
 	"net/http"
 	"net/netip"
@@ -11,7 +13,6 @@
 	"time"
 
 	"github.com/go-json-experiment/json"
-	"github.com/go-json-experiment/json/jsontext"
 
 	"github.com/fescueshed/fescueshed/platform/wire"
 )
@@ -73,14 +74,14 @@
 // written anything there.
 type object struct {
 	meta wire.Meta
-	body jsontext.Value
+	body string
 }
 
 // storedEvent is an event in its encoded form. It is encoded only once: encoding it for each watch delayed a watch
 // of seven megabytes by seconds on a busy machine.
 type storedEvent struct {
 	revision uint64
-	encoded  jsontext.Value
+	encoded  string
 }
 
 // maxPageItems is the number of objects in a page of a list. It is small so that tests with few upstreams get
@@ -178,36 +179,60 @@
 func (s *Store) PutRaw(kind, name string, body func(revision uint64) string) {
 	s.writes.Lock()
 	defer s.writes.Unlock()
-	s.put(kind, name, jsontext.Value("null"))
+	s.put(kind, name, "null")
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	o := s.objects[kind][name]
-	o.body = jsontext.Value(body(o.meta.Revision))
+	o.body = body(o.meta.Revision)
 	s.objects[kind][name] = o
-	s.events[kind][len(s.events[kind])-1].encoded = encode(&wire.Event{Object: o.body})
+	s.events[kind][len(s.events[kind])-1].encoded = encodeEvent(o.body, false)
+}
+
+// PutSpec creates or replaces an object whose content consists of the given bytes, as another writer could. They may be
+// invalid.
+func (s *Store) PutSpec(kind, name, spec string) {
+	s.writes.Lock()
+	defer s.writes.Unlock()
+	s.put(kind, name, spec)
 }
 
 // Content returns an object as the store sends it, empty if there is none.
 func (s *Store) Content(kind, name string) string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return string(s.objects[kind][name].body)
+	return s.objects[kind][name].body
 }
 
-func encode(v any) jsontext.Value {
-	b, err := json.Marshal(v, encodeOptions)
+// encode returns the JSON of what the project's own tests write.
+func encode(v any) string {
+	b, err := json.Marshal(v)
 	if err != nil {
 		panic(err) // Everything that tests write can be encoded.
 	}
-	return b
+	return string(b)
 }
 
-// encodeOptions makes the encoder pass on the bytes of other writers unchanged, valid or not.
-var encodeOptions = json.JoinOptions(jsontext.AllowDuplicateNames(true), jsontext.AllowInvalidUTF8(true))
+// encodeObject and those below put answers together from texts, without a parser or an encoder: these would refuse what
+// another writer may have stored.
+func encodeObject(m *wire.Meta, spec string) string {
+	return fmt.Sprintf(`{"meta":{"name":%s,"revision":%d,"created":%d},"spec":%s}`, encode(m.Name), m.Revision, m.Created, spec)
+}
+
+func encodeEvent(object string, deleted bool) string {
+	return fmt.Sprintf(`{"deleted":%t,"object":%s}`, deleted, object)
+}
+
+func encodeList(items []string, hasMore bool, asOf uint64) string {
+	return fmt.Sprintf(`{"items":[%s],"hasMore":%t,"asOf":%d}`, strings.Join(items, ","), hasMore, asOf)
+}
+
+func encodeEvents(events []string, asOf uint64) string {
+	return fmt.Sprintf(`{"events":[%s],"asOf":%d}`, strings.Join(events, ","), asOf)
+}
 
 // put writes an object under the next revision. s.writes must be held. Other calls are answered while a large object
 // is encoded.
-func (s *Store) put(kind, name string, spec jsontext.Value) {
+func (s *Store) put(kind, name, spec string) {
 	s.mu.Lock()
 	next := s.revision + 1
 	o, ok := s.objects[kind][name]
@@ -216,8 +241,8 @@
 		o.meta = wire.Meta{Name: name, Created: next}
 	}
 	o.meta.Revision = next
-	o.body = encode(&wire.Object{Meta: o.meta, Spec: spec})
-	event := encode(&wire.Event{Object: o.body})
+	o.body = encodeObject(&o.meta, spec)
+	event := encodeEvent(o.body, false)
 
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -241,11 +266,11 @@
 	}
 	s.revision++
 	delete(s.objects[kind], name)
-	s.recordEvent(kind, encode(&wire.Event{Object: o.body, Deleted: true}))
+	s.recordEvent(kind, encodeEvent(o.body, true))
 }
 
 // recordEvent adds an event of the present revision to the history and wakes the watches. s.mu must be held.
-func (s *Store) recordEvent(kind string, encoded jsontext.Value) {
+func (s *Store) recordEvent(kind, encoded string) {
 	s.events[kind] = append(s.events[kind], storedEvent{revision: s.revision, encoded: encoded})
 	close(s.changed)
 	s.changed = make(chan struct{})
@@ -349,7 +374,7 @@
 	case !exists && r.Method == http.MethodPut:
 		w.WriteHeader(http.StatusNotFound)
 	default:
-		s.put(kind, in.Meta.Name, in.Spec)
+		s.put(kind, in.Meta.Name, string(in.Spec))
 	}
 }
 
@@ -361,7 +386,7 @@
 		w.WriteHeader(http.StatusNotFound)
 		return
 	}
-	writeJSON(w, &o.body)
+	writeJSON(w, o.body)
 }
 
 // list answers with a page of the objects whose names come after the given one.
@@ -374,20 +399,21 @@
 	case stale && s.staleView != nil:
 		source = s.staleView
 	}
-	p := wire.Page{AsOf: source.revision}
+	var items []string
+	hasMore := false
 	for _, name := range slices.Sorted(maps.Keys(source.objects[kind])) {
 		if name <= after {
 			continue
 		}
-		if len(p.Items) == maxPageItems {
-			p.HasMore = true
+		if len(items) == maxPageItems {
+			hasMore = true
 			break
 		}
-		p.Items = append(p.Items, source.objects[kind][name].body)
+		items = append(items, source.objects[kind][name].body)
 	}
 	s.mu.Unlock()
 	setEpochHeader(w, source.epoch)
-	writeJSON(w, &p)
+	writeJSON(w, encodeList(items, hasMore, source.revision))
 }
 
 // watch answers with the events after a revision as soon as there are any, or with none after the requested wait.
@@ -401,14 +427,15 @@
 	}
 	timeout := time.After(time.Duration(wait) * time.Millisecond)
 	for {
-		p, dropped, changed := s.eventsSince(w, kind, from)
-		if dropped {
+		events, asOf, changed := s.eventsSince(w, kind, from)
+		if changed == nil {
 			w.WriteHeader(http.StatusGone)
 			return
 		}
-		if len(p.Events) > 0 {
+		body := encodeEvents(events, asOf)
+		if len(events) > 0 {
 			time.Sleep(s.faultsFor(r).SlowEvents)
-			writeJSON(w, p)
+			writeJSON(w, body)
 			return
 		}
 		select {
@@ -416,35 +443,36 @@
 		case <-r.Context().Done():
 			return
 		case <-timeout:
-			writeJSON(w, p)
+			writeJSON(w, body)
 			return
 		}
 	}
 }
 
-// eventsSince returns the events after a revision, whether the history from there was dropped, and a channel that is
-// closed at the next change. It sets the header with the epoch of the events.
-func (s *Store) eventsSince(w http.ResponseWriter, kind string, from uint64) (*wire.Page, bool, chan struct{}) {
+// eventsSince returns the events after a revision, the revision up to which they lead, and a channel that is closed at the
+// next change, nil if the history from there was dropped. It sets the header with the epoch of the events.
+func (s *Store) eventsSince(
+	w http.ResponseWriter, kind string, from uint64,
+) (events []string, asOf uint64, changed chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.faults.ServePreRestore && s.preRestore != nil {
 		setEpochHeader(w, s.preRestore.epoch)
-		return &wire.Page{AsOf: s.preRestore.revision}, false, s.changed
+		return nil, s.preRestore.revision, s.changed
 	}
 	setEpochHeader(w, s.epoch)
 	if from < s.historyStart || from > s.revision {
-		return nil, true, nil
+		return nil, 0, nil
 	}
 	if s.faults.HideEvents {
-		return &wire.Page{AsOf: from}, false, s.changed
+		return nil, from, s.changed
 	}
-	p := &wire.Page{AsOf: s.revision}
 	for _, e := range s.events[kind] {
 		if e.revision > from {
-			p.Events = append(p.Events, e.encoded)
+			events = append(events, e.encoded)
 		}
 	}
-	return p, false, s.changed
+	return events, s.revision, s.changed
 }
 
 // setEpochHeader sets the header that gives the epoch of an answer's content.
@@ -452,12 +480,8 @@
 	w.Header().Set(wire.HeaderEpoch, strconv.FormatUint(epoch, 10))
 }
 
-func writeJSON[T any](w http.ResponseWriter, p *T) {
-	b, err := json.Marshal(p, encodeOptions)
-	if err != nil {
-		panic(http.ErrAbortHandler) // Everything that the store holds can be encoded.
-	}
+func writeJSON(w http.ResponseWriter, body string) {
 	w.Header().Set("Content-Type", "application/json")
-	w.Header().Set("Content-Length", strconv.Itoa(len(b)))
-	_, _ = w.Write(b) // The client may have closed the connection.
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	_, _ = io.WriteString(w, body) // The client may have closed the connection.
 }
--- a/internal/standin/world/entries.go
+++ b/internal/standin/world/entries.go
@@ -1,15 +1,15 @@
 package world
 
 import (
-	"fmt"
 	"net/netip"
+	"strings"
 
 	"github.com/fescueshed/fescueshed/internal/standin/metadata"
 	"github.com/fescueshed/fescueshed/platform/wire"
 )
 
 // invalidSpecs are invalid contents that other writers leave in place of an upstream's entry: wrong types,
-// missing fields, an unknown state, bytes that aren't UTF-8.
+// missing fields, an unknown state, bytes that aren't UTF-8, nesting that no parser takes, content whose end is unknown.
 var invalidSpecs = []string{
 	`null`,
 	`"not an entry"`,
@@ -20,8 +20,15 @@
 	}),
 	`{"service":5,"address":[],"zone":{},"state":true}`,
 	"{\"service\":\"\xff\xfe\"}",
+	`{"service":` + nested(9997) + `}`,
+	nested(300_000),
+	`{"service":"fe`,
+	`[{]`,
 }
 
+// nested returns a list that is nested to a depth.
+func nested(depth int) string { return strings.Repeat("[", depth) + strings.Repeat("]", depth) }
+
 // ReplaceEntries replaces the entries of n upstreams by invalid ones, as another writer could, and adds as many
 // unusable entries of other names. It returns the names of the replaced entries and a function that makes their
 // upstreams write them again.
@@ -34,9 +41,7 @@
 		s := w.upstreams[i]
 		name := metadata.EntryName(s.ID)
 		spec := invalidSpecs[w.rng.IntN(len(invalidSpecs))]
-		w.Store.PutRaw(wire.KindServers, name, func(revision uint64) string {
-			return fmt.Sprintf(`{"meta":{"name":%q,"revision":%d,"created":1},"spec":%s}`, name, revision, spec)
-		})
+		w.Store.PutSpec(wire.KindServers, name, spec)
 		w.Store.PutRaw(wire.KindServers, "other-"+name, func(uint64) string { return `{"meta":17}` })
 		names, replaced = append(names, name), append(replaced, s)
 	}
@@ -50,3 +55,14 @@
 		}
 	}
 }
+
+// EntryNames returns the names of the store's entries of all upstreams.
+func (w *World) EntryNames() []string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	names := make([]string, 0, len(w.upstreams))
+	for _, s := range w.upstreams {
+		names = append(names, metadata.EntryName(s.ID))
+	}
+	return names
+}
--- a/internal/version/objects/listwatcher.go
+++ b/internal/version/objects/listwatcher.go
@@ -77,6 +77,9 @@
 	// ErrOutdated means that the store answered as of an earlier position than the one that was known when
 	// the call was made: the replica that answered lags, or lost its history without reporting it.
 	ErrOutdated = eris.New("objects: the answer is older than the known position")
+	// ErrUnreadable means that the store answered, but that the answer can't be decoded. The same call returns the same
+	// answer until the store's content changes.
+	ErrUnreadable = eris.New("objects: the answer can't be decoded")
 )
 
 // ListWatcher reads one kind of objects. Implementations are safe for concurrent use and return after the wait
