--- a/internal/version/rawjson/reader.go
+++ b/internal/version/rawjson/reader.go
@@ -56,7 +56,7 @@
 }
 
 // Object reads an object. It calls member with the name of each member, in order; member may read the value.
-func (r *Reader) Object(member func(name string)) {
+func (r *Reader) Object(member func(name []byte)) {
 	r.container('{', '}', func() {
 		if name := r.name(); r.err == nil {
 			r.visit(func() { member(Unquote(name)) })
@@ -166,36 +166,53 @@
 		return nil
 	}
 	start := r.pos
-	for at := r.pos + 1; ; at += 2 {
-		n := bytes.IndexAny(r.src[at:], `"\`)
+	for at := start + 1; at < len(r.src); {
+		n := bytes.IndexByte(r.src[at:], '"')
 		if n < 0 {
 			break
 		}
-		at += n
-		if r.src[at] == '"' {
-			r.pos = at + 1
+		quote := at + n
+		if at = skipEscapes(r.src, at, quote); at <= quote {
+			r.pos = quote + 1
 			return r.src[start:r.pos]
 		}
-		if at+2 > len(r.src) {
-			break
-		}
 	}
 	r.fail()
 	return nil
 }
 
+// skipEscapes returns the offset after the last escape of a string that begins between the offsets at and end, or at if
+// there is none. It is end+1 if the byte at end is escaped.
+func skipEscapes(src []byte, at, end int) int {
+	for at < end {
+		n := bytes.IndexByte(src[at:end], '\\')
+		if n < 0 {
+			break
+		}
+		at += n + len(`\"`)
+	}
+	return at
+}
+
 // scalar reads a number or a literal, without checking it.
 func (r *Reader) scalar() {
-	n := bytes.IndexAny(r.src[r.pos:], "{}[],:\" \t\r\n")
-	if n < 0 {
-		n = len(r.src) - r.pos
+	start := r.pos
+	for r.pos < len(r.src) && !isStructural[r.src[r.pos]] {
+		r.pos++
 	}
-	if n == 0 {
+	if r.pos == start {
 		r.fail()
 	}
-	r.pos += n
 }
 
+// isStructural holds the bytes that end a number or a literal.
+var isStructural = func() (set [256]bool) {
+	for _, c := range []byte("{}[],:\" \t\r\n") {
+		set[c] = true
+	}
+	return set
+}()
+
 // accept reads white space and c, if c follows. It reports whether it does.
 func (r *Reader) accept(c byte) bool {
 	r.skipSpace()
@@ -227,17 +244,17 @@
 }
 
 // Unquote returns the content of a string b, which includes its quotes. A content that is invalid is returned as it
-// stands.
-func Unquote(b []byte) string {
+// stands. The result may share memory with b.
+func Unquote(b []byte) []byte {
 	content := b[1 : len(b)-1]
 	if bytes.IndexByte(content, '\\') < 0 {
-		return string(content)
+		return content
 	}
 	out, err := jsontext.AppendUnquote(nil, b)
 	if err != nil {
-		return string(content)
+		return content
 	}
-	return string(out)
+	return out
 }
 
 // containers are the containers around a value, one bit each, set for an object.
--- a/internal/version/rawjson/reader_test.go
+++ b/internal/version/rawjson/reader_test.go
@@ -12,6 +12,7 @@
 // Guards against a value that ends at another place than the grammar says.
 func TestReaderFindsEndsOfValues(t *testing.T) {
 	deep := strings.Repeat(`{"a":[`, 300_000) + strings.Repeat(`]}`, 300_000)
+	escapes := `"` + strings.Repeat(`\u0041\"`, 100_000) + `"`
 	for name, tc := range map[string]struct {
 		src  string
 		want []string
@@ -20,6 +21,8 @@
 		"white space":               {" [ 1 ,\t{ } ]\n", []string{"1", "{ }"}},
 		"brackets in strings":       {`["]}",{"[":"{"}]`, []string{`"]}"`, `{"[":"{"}`}},
 		"escaped quotes":            {`["\"]","\\",3]`, []string{`"\"]"`, `"\\"`, `3`}},
+		"escapes before the end":    {`["\u0041\\\\\"","x"]`, []string{`"\u0041\\\\\""`, `"x"`}},
+		"many escapes":              {"[" + escapes + ",1]", []string{escapes, "1"}},
 		"bytes that aren't UTF-8":   {"[\"\xff\x00\",1]", []string{"\"\xff\x00\"", "1"}},
 		"the same name twice":       {`[{"a":1,"a":[]}]`, []string{`{"a":1,"a":[]}`}},
 		"numbers and literals":      {`[-1.5e9,nul,true]`, []string{"-1.5e9", "nul", "true"}},
@@ -69,11 +72,11 @@
 	g := NewWithT(t)
 	r := rawjson.NewReader([]byte(`{"skipped":[{"x":1}],"re\u0061d":2,"in\qvalid":null}`))
 	got := make(map[string]string)
-	r.Object(func(name string) {
-		if name == "skipped" {
+	r.Object(func(name []byte) {
+		if string(name) == "skipped" {
 			return
 		}
-		got[name] = string(r.Value())
+		got[string(name)] = string(r.Value())
 	})
 	r.End()
 	g.Expect(r.Err()).NotTo(HaveOccurred())
