platform client, daemon: one bad host or an unreadable head costs nothing else

An unreadable head was logged but not counted as refused, and a head that can't be read at all (no version, too large) was asked for again and again without a line.

Change: hosts are decoded one by one, the others are returned as findings with their place. Unreadable heads count in fescueshed_bundles_refused_total; the first failure to read the head is logged.

Tests: «returns the other hosts if one can't be decoded», «stays in force when the platform's head can't be decoded»; the first doesn't compile before, the second waits for the count.

--- a/internal/process/daemon/bundles.go
+++ b/internal/process/daemon/bundles.go
@@ -100,6 +100,7 @@
 func (b *bundles) watch(ctx context.Context) {
 	var seen platform.ObjectVersion
 	backoff := minBackoff
+	failing := false
 	for ctx.Err() == nil {
 		if b.newest() != nil && !b.d.engine.View().IsWatcher(watchersPerZone) {
 			// Other members announce newer bundles in their probes.
@@ -111,13 +112,17 @@
 		}
 		o, err := b.d.platform.Watch(ctx, platform.HeadKey, seen, watchWait)
 		if err == nil {
-			backoff = minBackoff
+			backoff, failing = minBackoff, false
 			seen = o.Version
 			b.acceptObject(o)
 			continue
 		}
 		if !eris.Is(err, platform.ErrNotFound) {
 			b.platformErrors.Add(1)
+			if !failing {
+				klog.ErrorS(err, "Platform's bundle can't be read")
+			}
+			failing = true
 		}
 		select {
 		case <-ctx.Done():
@@ -135,7 +140,9 @@
 		return
 	}
 	s, err := bundle.DecodeSigned(o.Body)
-	if err == nil {
+	if err != nil {
+		b.refused.Add(1)
+	} else {
 		err = b.accept(s, &b.fromPlatform)
 	}
 	if err != nil {
--- a/internal/process/daemon/control.go
+++ b/internal/process/daemon/control.go
@@ -184,10 +184,13 @@
 func (c *control) seedOnce(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, seedPeriod)
 	defer cancel()
-	hosts, err := c.d.platform.Hosts(ctx)
+	hosts, findings, err := c.d.platform.Hosts(ctx)
 	if err != nil {
 		c.d.bundles.platformErrors.Add(1)
 	}
+	if len(findings) > 0 {
+		klog.ErrorS(findings[0], "Hosts of the platform's list left out", "Count", len(findings))
+	}
 	addrs := make([]netip.AddrPort, 0, len(hosts)+len(c.d.cfg.Seeds))
 	addrs = append(addrs, c.d.cfg.Seeds...)
 	for _, h := range hosts {
--- a/internal/process/daemon/daemon_test.go
+++ b/internal/process/daemon/daemon_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"crypto/ed25519"
+	"io"
+	"net/http"
 	"net/http/httptest"
 	"net/netip"
 	"strings"
@@ -105,6 +107,30 @@
 		Consistently(version(a), 300*time.Millisecond).Should(BeEquivalentTo(1))
 	})
 
+	// Another program overwrote the platform's head. Guards against a daemon that loses the bundle in force, or that doesn't
+	// count the refusal, and against one that starts then and gets no bundle from the others.
+	It("stays in force when the platform's head can't be decoded", func() {
+		h := newHosts()
+		a := h.start(1)
+		h.roll(1)
+		Eventually(version(a), timeout).Should(BeEquivalentTo(1))
+		_, v, err := h.client.Head(context.Background())
+		Expect(err).NotTo(HaveOccurred())
+		_, err = h.client.Put(context.Background(), platform.HeadKey, []byte(strings.Repeat("[", 20_000)), v)
+		Expect(err).NotTo(HaveOccurred())
+		Eventually(func(g Gomega) string {
+			resp, err := http.Get("http://" + address(1, 6083).String() + "/metrics")
+			g.Expect(err).NotTo(HaveOccurred())
+			defer func() { _ = resp.Body.Close() }()
+			b, err := io.ReadAll(resp.Body)
+			g.Expect(err).NotTo(HaveOccurred())
+			return string(b)
+		}, timeout).Should(ContainSubstring("fescueshed_bundles_refused_total 1"))
+		Expect(version(a)()).To(BeEquivalentTo(1))
+		b := h.start(2)
+		Eventually(version(b), timeout).Should(BeEquivalentTo(1))
+	})
+
 	// Guards against a balancer that returns to an older configuration: the platform's
 	// store was restored from an old backup, so its head is an earlier version again.
 	It("isn't replaced by an older one when the platform's head reverts", func() {
--- a/internal/version/platform/client.go
+++ b/internal/version/platform/client.go
@@ -16,6 +16,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/fescueshed/fescueshed/internal/version/objects"
+	"github.com/fescueshed/fescueshed/internal/version/rawjson"
 )
 
 // ObjectVersion is the version of an object in the service. Zero means that there is no object.
@@ -106,14 +107,28 @@
 	}
 }
 
-// Hosts reads the platform's list of hosts.
-func (c *Client) Hosts(ctx context.Context) ([]Host, error) {
+// Hosts reads the platform's list of hosts. It leaves out entries that can't be decoded and returns them as findings, each
+// with its place in the list.
+func (c *Client) Hosts(ctx context.Context) (hosts []Host, findings []error, err error) {
 	o, err := c.read(ctx, objects.Call{Path: HostsPath})
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
-	var hosts []Host
-	return hosts, eris.Wrap(json.Unmarshal(o.Body, &hosts), "platform: decode list of hosts")
+	r := rawjson.NewReader(o.Body)
+	i := 0
+	r.Array(func() {
+		i++
+		var h Host
+		if b := r.Value(); b == nil {
+			return
+		} else if err := json.Unmarshal(b, &h); err != nil {
+			findings = append(findings, eris.Wrapf(err, "platform: host %d of the list", i))
+			return
+		}
+		hosts = append(hosts, h)
+	})
+	r.End()
+	return hosts, findings, eris.Wrapf(r.Err(), "platform: list of hosts, after %d entries", i)
 }
 
 var errNotModified = eris.New("platform: not modified")
--- a/internal/version/platform/platform_test.go
+++ b/internal/version/platform/platform_test.go
@@ -3,7 +3,11 @@
 import (
 	"context"
 	"fmt"
+	"io"
+	"net/http"
 	"net/http/httptest"
+	"net/netip"
+	"strings"
 	"sync"
 	"time"
 
@@ -136,6 +140,26 @@
 		Expect(c.Roll(ctx, signed(2, "early"), time.Millisecond)).To(MatchError(platform.ErrRaced))
 	})
 
+	// One entry of the list of hosts can't be used. Guards against a daemon that finds no other host because of it.
+	It("returns the other hosts if one can't be decoded", func() {
+		srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("ETag", `"1"`)
+			deep := strings.Repeat("[", 20_000) + strings.Repeat("]", 20_000)
+			_, _ = io.WriteString(w, `[{"Name":"a","Control":"10.0.0.1:1"},{"Name":"b","Control":"nowhere"},17,`+deep+
+				`,{"Name":"c","Control":"10.0.0.3:1"}]`)
+		}))
+		defer srv.Close()
+		client, stop := platform.NewClient(srv.URL)
+		defer stop()
+		hosts, findings, err := client.Hosts(ctx)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(hosts).To(Equal([]platform.Host{
+			{Name: "a", Control: netip.MustParseAddrPort("10.0.0.1:1")}, {Name: "c", Control: netip.MustParseAddrPort("10.0.0.3:1")},
+		}))
+		Expect(findings).To(HaveLen(3))
+		Expect(findings[0]).To(MatchError(ContainSubstring("host 2 of the list")))
+	})
+
 	It("retries until the service is available again", func() {
 		service.SetFaults(standin.Faults{Down: true})
 		down, cancel := context.WithTimeout(ctx, 20*time.Millisecond)
