What other writers leave in number or size is bounded before it is passed on

The reader of the store accepted what its members then refused: more than 256 evacuated zones (evacuation.Zones.Check), and names of a megabyte, twelve of which exceed what a packed list may hold. Members refused the whole catalog for it, hosts without the store got nothing, and all others read it for themselves. An advertisement with many long names couldn't be sent at all.

Change: zones and services have 253 bytes at most, as the names of objects; zones beyond MaxZones are left out, those of the settings last; changes that exceed the fragments of an advertisement are fetched instead. A page that is too large counts as unreadable. The store stand-in ends a page at a megabyte, as the users' store does.

Evidence: TestManyEntriesOfOtherWritersReachOtherHosts fails on (30 s, a host without the store never learns of the bundle) and passes in 1.5 s. TestAnotherHostReadsIfAnswersAreUnreadable passes on both: others take over from a reader that can't decode its answers.

--- a/internal/connection/peer/advertisement.go
+++ b/internal/connection/peer/advertisement.go
@@ -69,6 +69,10 @@
 	// MaxAdvertisedChanges bounds Advertisement.Changes. More than MaxRepeatedChanges are sent once,
 	// in fragments. A member that misses some of them fetches them.
 	MaxAdvertisedChanges = 512
+	// maxAdvertisedBytes bounds the size of Changes, so that the fragments can hold them even if they
+	// don't compress. changeBytes is the size of a change without the names of its zone and service.
+	maxAdvertisedBytes = 60 << 10
+	changeBytes        = 60
 	// MaxAdvertisedZones bounds the evacuated zones in the same datagram. One zone takes about 12
 	// bytes. A member that misses more zones fetches them.
 	MaxAdvertisedZones = 12
@@ -83,6 +87,15 @@
 	MaxServices = 16
 )
 
+// CanAdvertise reports whether an advertisement can hold the changes. Otherwise its receivers fetch them.
+func CanAdvertise(changes []registry.Change) bool {
+	size := 0
+	for i := range changes {
+		size += changeBytes + len(changes[i].Zone) + len(changes[i].Service)
+	}
+	return len(changes) <= MaxAdvertisedChanges && size <= maxAdvertisedBytes
+}
+
 // Check returns ErrMessage if the advertisement exceeds a limit, or the error of an invalid entry.
 func (a *Advertisement) Check() error {
 	if a.From == 0 || a.Age < 0 || a.SuspicionPeriod < 0 || len(a.Changes) > MaxAdvertisedChanges {
--- a/internal/connection/peer/fragment_test.go
+++ b/internal/connection/peer/fragment_test.go
@@ -9,6 +9,9 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/fescueshed/fescueshed/internal/connection/peer"
+	"github.com/fescueshed/fescueshed/internal/version/bundle"
+	"github.com/fescueshed/fescueshed/internal/version/objects"
+	"github.com/fescueshed/fescueshed/internal/version/registry"
 )
 
 var fragmentSender = netip.MustParseAddrPort("10.0.0.1:6082")
@@ -98,3 +101,37 @@
 		r.Add(fragmentSender, b, time.Unix(1005, 0))
 	})
 }
+
+// Guards against an advertisement that can't be sent at all because of the names in its changes. Its receivers would take
+// the sender for lost.
+func TestAdvertisedChangesFitIntoFragments(t *testing.T) {
+	g := NewWithT(t)
+	rng := rand.New(rand.NewPCG(1, 2))
+	name := func() string {
+		b := make([]byte, 253)
+		for i := range b {
+			b[i] = byte('!' + rng.IntN('~'-'!'))
+		}
+		return string(b)
+	}
+	a := &peer.Advertisement{From: 1 << 60, Age: time.Second, AsOf: 1 << 50, Digest: 1 << 60}
+	for i := range peer.MaxAdvertisedChanges {
+		change := registry.Change{Registration: registry.Registration{
+			ID: bundle.UpstreamID(rng.Uint64()), Service: name(), Zone: bundle.Zone(name()), Slots: 1 << 30, Warmup: time.Hour,
+			Address: netip.MustParseAddrPort("10.128.100.100:50000"), Created: 1 << 50, Revision: objects.Position(1<<50 + i),
+			StartTime: 1_764_720_000_000, Sequence: rng.Uint64(),
+		}}
+		if !peer.CanAdvertise(append(a.Changes, change)) {
+			break
+		}
+		a.Changes = append(a.Changes, change)
+	}
+	g.Expect(len(a.Changes)).To(BeNumerically(">", peer.MaxRepeatedChanges))
+	g.Expect(peer.CanAdvertise(make([]registry.Change, peer.MaxAdvertisedChanges))).To(BeTrue())
+	c, err := peer.NewCodec[peer.Advertisement]([]byte("secret"), peer.DomainAdvertisement)
+	g.Expect(err).NotTo(HaveOccurred())
+	b, err := c.Encode(a)
+	g.Expect(err).NotTo(HaveOccurred())
+	_, err = peer.Fragment(1, b)
+	g.Expect(err).NotTo(HaveOccurred())
+}
--- a/internal/process/cookiedaemon/advertisement.go
+++ b/internal/process/cookiedaemon/advertisement.go
@@ -102,6 +102,9 @@
 		changes = c.LoggedAfter(d.lastAdvertised, peer.MaxAdvertisedChanges)
 	}
 	d.lastAdvertised = c.Logged()
+	if !peer.CanAdvertise(changes) {
+		return nil
+	}
 	return changes
 }
 
--- a/internal/process/cookiedaemon/evacuation.go
+++ b/internal/process/cookiedaemon/evacuation.go
@@ -39,6 +39,10 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	z := next(&d.state.evacuated.Stored)
+	if left := z.Limit(func(zone bundle.Zone) bool { return d.cfg.Load().Regions[zone] != "" }); left > 0 {
+		d.unusable.Add(uint64(left))
+		klog.InfoS("Evacuations left out, there are too many", "Count", left, "AsOf", z.AsOf)
+	}
 	d.applyEvacuations(z, contentSource{source: "Store"}, now)
 	if z.AsOf >= d.state.evacuated.Stored.AsOf {
 		d.confirmEvacuations(now)
--- a/internal/process/cookiedaemon/follower.go
+++ b/internal/process/cookiedaemon/follower.go
@@ -87,7 +87,9 @@
 		asOf = f.resumeFrom(asOf)
 		began := time.Now()
 		next, changed, err := f.step(ctx, asOf)
-		f.countUnreadable(err)
+		if eris.Is(err, objects.ErrUnreadable) || asOf == 0 && eris.Is(err, objects.ErrTooLarge) {
+			f.noteUnreadable(err)
+		}
 		switch {
 		case err == nil:
 			asOf, failures, lostHistories = next, 0, 0
@@ -289,12 +291,9 @@
 	}
 }
 
-// countUnreadable counts an answer that can't be decoded and logs it. The same call is repeated until the store's content
-// changes, so a single line when the calls begin to fail isn't enough.
-func (f *follower[T]) countUnreadable(err error) {
-	if !eris.Is(err, objects.ErrUnreadable) {
-		return
-	}
+// noteUnreadable counts and logs an answer that can't be decoded, or a page that is too large. The same call gets the same
+// answer until the store's content changes, so a single line when the calls begin to fail isn't enough.
+func (f *follower[T]) noteUnreadable(err error) {
 	f.daemon.unreadableAnswers[f.kind].Add(1)
 	if left, ok := f.unreadableLimiter.Allow(time.Now()); ok {
 		klog.ErrorS(err, "Store's answer can't be decoded", "Kind", f.kind, "LeftOut", left)
--- a/internal/process/cookiedaemon/otherwriter_test.go
+++ b/internal/process/cookiedaemon/otherwriter_test.go
@@ -1,13 +1,20 @@
 package cookiedaemon_test
 
 import (
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
 	"strings"
 	"testing"
 
 	. "github.com/onsi/gomega"
 
+	"github.com/fescueshed/fescueshed/internal/standin/metadata"
 	"github.com/fescueshed/fescueshed/internal/standin/world"
 	"github.com/fescueshed/fescueshed/internal/version/bundle"
+	"github.com/fescueshed/fescueshed/internal/version/evacuation"
 	"github.com/fescueshed/fescueshed/platform/wire"
 )
 
@@ -102,3 +109,66 @@
 	g.Expect(w.DrainUpstream()).To(BeTrue())
 	g.Eventually(n.AvailableUpstreams, maxWait).Should(Equal(11))
 }
+
+// Guards against changes that reach no host because the one that reads the store can't decode its answers.
+func TestAnotherHostReadsIfAnswersAreUnreadable(t *testing.T) {
+	g := NewWithT(t)
+	w := openWorld(t, world.Options{Seed: 1, Hosts: 3, Upstreams: 12, Callers: 12})
+	nodes := openAll(t, w)
+	g.Eventually(func() int { return readers(nodes) }, maxWait).Should(Equal(1))
+	garbage := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, "<html>")
+	}))
+	defer garbage.Close()
+	for _, n := range nodes {
+		if n.ReadsStore() {
+			changed := *n.cfg
+			changed.Store = garbage.URL
+			n.Reload(&changed)
+		}
+	}
+	g.Expect(w.DrainUpstream()).To(BeTrue())
+	v := w.Roll()
+	g.Eventually(inForce(nodes, v), maxWait).Should(BeTrue())
+	for _, n := range nodes {
+		g.Eventually(n.AvailableUpstreams, maxWait).Should(Equal(11))
+	}
+}
+
+// Guards against hosts that refuse all that a reader of the store sends them because of what other writers have left there
+// in great number or size: those without the store get nothing then, and all others read it.
+func TestManyEntriesOfOtherWritersReachOtherHosts(t *testing.T) {
+	g := NewWithT(t)
+	w := openWorld(t, world.Options{Seed: 1, Hosts: 4, Upstreams: 12, Callers: 12})
+	const regions = `"zone-1":"r","zone-2":"r","zone-3":"r"`
+	for _, h := range w.Hosts {
+		h.Regions = regions
+	}
+	w.Hosts[3].StoreProxy.SetFault(world.LinkReset)
+	nodes := openAll(t, w)
+	for i := range 2 * evacuation.MaxZones {
+		w.Store.PutSpec(wire.KindEvacuations, fmt.Sprintf("a-report-%d", i), "{}")
+	}
+	w.Store.PutSpec(wire.KindEvacuations, strings.Repeat("z", 100_000), "{}")
+	for i := range 12 {
+		entry := metadata.EncodeSpec(&wire.Server{
+			Service: strings.Repeat(string(rune('a'+i)), 1<<20), Address: netip.MustParseAddrPort("127.0.0.9:9"), Zone: "zone-1",
+			Version: "v1", ConcurrencyLimit: 1, State: wire.StateReady,
+		})
+		w.Store.PutSpec(wire.KindServers, metadata.EntryName(bundle.UpstreamID(i+1)), entry)
+	}
+	g.Expect(w.DrainUpstream()).To(BeTrue())
+	v := w.Roll()
+	w.Store.Put(wire.KindEvacuations, "zone-2", struct{}{})
+	h, err := w.AddHost(t.Context())
+	g.Expect(err).NotTo(HaveOccurred())
+	h.Regions = regions
+	h.StoreProxy.SetFault(world.LinkReset)
+	nodes = append(nodes, openNode(t, w, h))
+	g.Eventually(inForce(nodes, v), maxWait).Should(BeTrue())
+	for _, n := range nodes {
+		g.Eventually(n.Ready, maxWait).Should(BeTrue())
+		g.Eventually(n.AvailableUpstreams, maxWait).Should(Equal(11))
+		g.Eventually(n.Evacuated, maxWait).Should(ContainElement(bundle.Zone("zone-2")))
+	}
+}
--- a/internal/standin/metadata/store.go
+++ b/internal/standin/metadata/store.go
@@ -88,6 +88,9 @@
 // several pages.
 const maxPageItems = 5
 
+// maxPageBytes is the size of a page from which it gets no more objects.
+const maxPageBytes = 1 << 20
+
 // NewStore returns an empty store.
 func NewStore() *Store {
 	return &Store{
@@ -400,16 +403,17 @@
 		source = s.staleView
 	}
 	var items []string
-	hasMore := false
+	hasMore, size := false, 0
 	for _, name := range slices.Sorted(maps.Keys(source.objects[kind])) {
 		if name <= after {
 			continue
 		}
-		if len(items) == maxPageItems {
+		if len(items) == maxPageItems || size >= maxPageBytes {
 			hasMore = true
 			break
 		}
-		items = append(items, source.objects[kind][name].body)
+		body := source.objects[kind][name].body
+		items, size = append(items, body), size+len(body)
 	}
 	s.mu.Unlock()
 	setEpochHeader(w, source.epoch)
--- a/internal/version/evacuation/evacuation.go
+++ b/internal/version/evacuation/evacuation.go
@@ -53,6 +53,25 @@
 	return NewZones(list, asOf)
 }
 
+// Limit removes zones beyond MaxZones, which no other daemon would accept: first those that known doesn't report, then the
+// last ones. It returns how many it removed.
+func (z *Zones) Limit(known func(bundle.Zone) bool) int {
+	excess := len(z.List) - MaxZones
+	if excess <= 0 {
+		return 0
+	}
+	kept, others := make([]bundle.Zone, 0, MaxZones), make([]bundle.Zone, 0, len(z.List))
+	for _, zone := range z.List {
+		if known(zone) && len(kept) < MaxZones {
+			kept = append(kept, zone)
+		} else {
+			others = append(others, zone)
+		}
+	}
+	*z = NewZones(append(kept, others[:MaxZones-len(kept)]...), z.AsOf)
+	return excess
+}
+
 // Supersedes reports whether these zones are of a later position than old and so replace it. A delayed message
 // must not undo a later one.
 func (z *Zones) Supersedes(old *Zones) bool { return z.AsOf > old.AsOf }
--- a/internal/version/evacuation/evacuation_test.go
+++ b/internal/version/evacuation/evacuation_test.go
@@ -1,6 +1,9 @@
 package evacuation_test
 
 import (
+	"fmt"
+	"strings"
+
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
@@ -38,6 +41,25 @@
 		Expect(z.Digest()).NotTo(Equal(joined.Digest()))
 	})
 
+	// Guards against zones that no other daemon accepts since another writer has left too many entries, and against one
+	// of them that takes the place of a zone that exists.
+	It("are limited to what other daemons accept, the known ones first", func() {
+		const excess = 11
+		list := make([]bundle.Zone, evacuation.MaxZones+excess)
+		for i := range list {
+			list[i] = bundle.Zone(fmt.Sprintf("report-%d", i))
+		}
+		list[7], list[250] = "zone-a", "zone-b"
+		z := evacuation.NewZones(list, 7)
+		known := func(zone bundle.Zone) bool { return strings.HasPrefix(string(zone), "zone-") }
+		Expect(z.Limit(known)).To(Equal(excess))
+		Expect(z.Check()).To(Succeed())
+		Expect(z.AsOf).To(BeEquivalentTo(7))
+		Expect(z.Has("zone-a")).To(BeTrue())
+		Expect(z.Has("zone-b")).To(BeTrue())
+		Expect(z.Limit(known)).To(BeZero())
+	})
+
 	for name, tc := range map[string]struct {
 		list  []bundle.Zone
 		cause string
--- a/internal/version/evacuation/inforce.go
+++ b/internal/version/evacuation/inforce.go
@@ -38,11 +38,12 @@
 	return true
 }
 
-// HeldZones returns the zones that the snapshot lacks, sorted, and for how much longer they stay in force. A daemon that
-// started after the restore can only learn them from another daemon.
+// HeldZones returns the zones that the snapshot lacks, sorted and MaxZones at most, and for how much longer they stay in
+// force. A daemon that started after the restore can only learn them from another daemon.
 func (f *InForce) HeldZones(now time.Time) ([]bundle.Zone, time.Duration) {
 	var left time.Duration
 	zones := slices.Sorted(maps.Keys(f.held))
+	zones = zones[:min(len(zones), MaxZones)]
 	for _, until := range f.held {
 		left = max(left, until.Sub(now))
 	}
--- a/internal/version/registry/registration.go
+++ b/internal/version/registry/registration.go
@@ -69,6 +69,9 @@
 		return eris.Wrap(ErrRegistration, "zone is missing")
 	case r.Service == "":
 		return eris.Wrap(ErrRegistration, "service is missing")
+	case len(r.Zone) > maxNameBytes || len(r.Service) > maxNameBytes:
+		return eris.Wrapf(ErrRegistration, "zone and service have %d and %d bytes, want at most %d each",
+			len(r.Zone), len(r.Service), maxNameBytes)
 	case !r.Address.IsValid() || !r.Address.Addr().Is4() || r.Address.Port() == 0:
 		return eris.Wrapf(ErrRegistration, "address is %q, want an IPv4 address and a port", r.Address)
 	case r.Slots < 1:
@@ -81,6 +84,10 @@
 	return nil
 }
 
+// maxNameBytes bounds the names of zones and services, as DNS does its own. Without a bound a few entries could make the
+// list too large for any message between daemons.
+const maxNameBytes = 253
+
 // maxWarmup bounds what an entry may claim. The users' upstreams are slow for seconds after their start; an entry
 // that claims days is an error of its writer.
 const maxWarmup = time.Hour
