--- a/internal/process/cookiedaemon/otherwriter_test.go
+++ b/internal/process/cookiedaemon/otherwriter_test.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"strings"
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 
@@ -172,3 +173,33 @@
 		g.Eventually(n.Evacuated, maxWait).Should(ContainElement(bundle.Zone("zone-2")))
 	}
 }
+
+// Guards against a copy of an upstream's entry under another name that takes the place of the entry itself: the upstream
+// would get no flow, or flows though it drains, and would be gone once the copy is deleted.
+func TestCopiesOfEntriesUnderOtherNames(t *testing.T) {
+	for name, state := range map[string]string{"in a state that isn't known": "archived", "in the state of the original": wire.StateReady} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			g := NewWithT(t)
+			w := openWorld(t, world.Options{Seed: 1, Hosts: 3, Upstreams: 12, Callers: 12})
+			nodes := openAll(t, w)
+			g.Expect(w.DrainUpstream()).To(BeTrue())
+			remove := w.CopyEntries(state)
+			h, err := w.AddHost(t.Context())
+			g.Expect(err).NotTo(HaveOccurred())
+			nodes = append(nodes, openNode(t, w, h))
+			for _, n := range nodes {
+				g.Eventually(n.Ready, maxWait).Should(BeTrue())
+				g.Eventually(n.Members, maxWait).Should(Equal(len(nodes)))
+			}
+			for added, change := range []func(){func() {}, remove} {
+				change()
+				g.Expect(w.AddUpstream(world.ServiceFeed, w.Hosts[0].Zone, netip.AddrPort{})).To(Succeed())
+				for _, n := range nodes {
+					g.Eventually(n.AvailableUpstreams, maxWait).Should(Equal(12 + added))
+					g.Consistently(n.AvailableUpstreams, time.Second).Should(Equal(12+added), "one drains, %d joined", 1+added)
+				}
+			}
+		})
+	}
+}
--- a/internal/standin/world/entries.go
+++ b/internal/standin/world/entries.go
@@ -42,7 +42,7 @@
 		name := metadata.EntryName(s.ID)
 		spec := invalidSpecs[w.rng.IntN(len(invalidSpecs))]
 		w.Store.PutSpec(wire.KindServers, name, spec)
-		w.Store.PutRaw(wire.KindServers, "other-"+name, func(uint64) string { return `{"meta":17}` })
+		w.Store.PutSpec(wire.KindServers, "other-"+name, spec)
 		names, replaced = append(names, name), append(replaced, s)
 	}
 	return names, func() {
@@ -66,3 +66,23 @@
 	}
 	return names
 }
+
+// CopyEntries stores a copy of each upstream's entry under another name, as a tool that keeps backups could, with the given
+// state. The returned function deletes the copies.
+func (w *World) CopyEntries(state string) (remove func()) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	names := make([]string, 0, len(w.upstreams))
+	for _, s := range w.upstreams {
+		name := "backup-" + metadata.EntryName(s.ID)
+		w.Store.Put(wire.KindServers, name, &wire.Server{
+			Service: s.Service, Address: s.Address, Zone: string(s.Zone), Version: "v1", ConcurrencyLimit: s.Slots, State: state,
+		})
+		names = append(names, name)
+	}
+	return func() {
+		for _, name := range names {
+			w.Store.Delete(wire.KindServers, name)
+		}
+	}
+}
