cookie: an upstream isn't judged by an entry of a service that no bundle names

A host that started with another writer's entry knew the upstream by nothing else: it sent the open flows' packets to the entry's address, suspected the upstream when nothing came back, had its probe refused there, and reset the flows of a dead upstream. The guard for unknown services held only where the upstream had been known before.

Change: a registration of a service that the bundle doesn't name is withheld, also if the upstream isn't known: packets of its flows are dropped, as for an entry that can't be read, until its own entry is there. The registration is kept for the bundle that names its service. The catalog hands on the entry that another service's replaced in between, so a host that starts learns the upstream's own within one heartbeat. Two faults besides: an upstream whose own entry came back unchanged got no flow any more, and one whose entry was removed meanwhile came back with the bundle that named its service.

The price: flows at upstreams of a service that a later bundle no longer names are dropped by hosts that start after it.

--- a/internal/connection/cookie/engine.go
+++ b/internal/connection/cookie/engine.go
@@ -139,8 +139,12 @@
 // table no longer has, and for flows of upstreams whose registration becomes usable by the table
 // and shows a restart.
 func (e *Engine) SetRouting(r *bundle.Routing, now time.Time) []Reset {
+	first := e.routing == nil
 	e.routing = r
 	e.updateServices()
+	if first {
+		e.withholdUnnamed(now)
+	}
 	var out []Reset
 	for _, u := range slices.Clone(e.index.mismatched.list) {
 		if !e.hasMismatchedService(u, u.mismatched) {
@@ -177,6 +181,19 @@
 	}
 }
 
+// withholdUnnamed withholds the registrations that were received before any routing table and whose service the first one
+// doesn't name.
+func (e *Engine) withholdUnnamed(now time.Time) {
+	for id, u := range e.upstreams {
+		if u.registered && e.routing.Registered(u.registration.Service) == nil {
+			e.index.removeFromService(u)
+			e.index.remove(u)
+			delete(e.upstreams, id)
+			e.withhold(nil, &u.registration, now)
+		}
+	}
+}
+
 // Update applies registrations that were added, changed or removed, and returns resets for flows of
 // upstreams that restarted. Its cost doesn't grow with the number of the other registrations, so
 // that a small host keeps up while thousands of upstreams are replaced.
@@ -196,7 +213,12 @@
 // reset.
 func (e *Engine) deregister(id bundle.UpstreamID, now time.Time) {
 	u := e.upstreams[id]
-	if u == nil || !u.registered {
+	if u == nil {
+		return
+	}
+	u.mismatched = nil
+	if !u.registered {
+		e.index.update(u)
 		return
 	}
 	e.index.removeFromService(u)
@@ -211,7 +233,7 @@
 func (e *Engine) register(r *registry.Registration, now time.Time) []Reset {
 	u := e.upstreams[r.ID]
 	switch {
-	case u != nil && u.registered && u.registration.SameContent(r):
+	case u != nil && u.registered && u.mismatched == nil && u.registration.SameContent(r):
 		// After the store was restored from a snapshot, each entry has another position. The
 		// warm-up time that runs since its last change isn't started again.
 		u.registration = *r
@@ -224,14 +246,12 @@
 	case u == nil && !r.HasContent():
 		e.addDeregistered(r.ID, netip.AddrPort{}, now)
 		return nil
+	case e.hasMismatchedService(u, r):
+		e.withhold(u, r, now)
+		return nil
 	case u == nil:
 		u = &Upstream{Cookie: Of(r.ID), load: e.LoadTable.Load(r.ID), index: e.index}
 		e.upstreams[r.ID] = u
-	case e.hasMismatchedService(u, r):
-		mismatched := *r
-		u.mismatched = &mismatched
-		e.index.update(u)
-		return nil
 	}
 	var out []Reset
 	if restart := r.Restarted(&u.registration); restart != registry.RestartNone {
@@ -262,11 +282,22 @@
 	e.index.addToService(u)
 }
 
-// hasMismatchedService reports whether a registration moves a known upstream to a service that no
-// bundle names. Another writer may have replaced the entry: open flows must not follow it to
-// another address, or they would reach an upstream that resets them.
+// hasMismatchedService reports whether a registration is of a service that the bundle doesn't name, and u, the upstream as
+// known so far, isn't of that service either; u may be nil. Another writer may have replaced the entry: open flows must not
+// follow it to another address, where they would reach an upstream that resets them, or nothing that answers probes.
 func (e *Engine) hasMismatchedService(u *Upstream, r *registry.Registration) bool {
-	return e.routing != nil && u.registered && r.Service != u.Route.Service.Name && e.routing.Registered(r.Service) == nil
+	return e.routing != nil && e.routing.Registered(r.Service) == nil && (u == nil || r.Service != u.Route.Service.Name)
+}
+
+// withhold keeps a registration with a mismatched service until a bundle names the service. The upstream goes on as known
+// so far. If it isn't known, u is nil, and packets of its flows are dropped: they may be alive.
+func (e *Engine) withhold(u *Upstream, r *registry.Registration, now time.Time) {
+	if u == nil {
+		u = e.addDeregistered(r.ID, netip.AddrPort{}, now)
+	}
+	mismatched := *r
+	u.mismatched = &mismatched
+	e.index.update(u)
 }
 
 // ConfirmRegistrations notes that the registrations were complete at a time. It ignores a time
--- a/internal/connection/cookie/probe.go
+++ b/internal/connection/cookie/probe.go
@@ -239,7 +239,8 @@
 	}
 	gone := e.index.deregistered.list
 	for i := len(gone) - 1; i >= 0; i-- {
-		if u := gone[i]; u.flowRecords == 0 && now.Sub(u.deregisteredAt) > e.opts.FlowLifetime {
+		u := gone[i]
+		if u.flowRecords == 0 && u.mismatched == nil && now.Sub(u.deregisteredAt) > e.opts.FlowLifetime {
 			delete(e.upstreams, u.Route.ID)
 			e.index.remove(u)
 			e.LoadTable.Forget(u.Route.ID)
--- a/internal/connection/cookie/upstream.go
+++ b/internal/connection/cookie/upstream.go
@@ -86,8 +86,8 @@
 	// onlyDeregistered is set if nothing but the end of its registration made it a suspect. If every
 	// host probed each upstream whose entry lapsed and is back, that would be hosts times upstreams.
 	onlyDeregistered bool
-	// mismatched is the present registration if it names a service that no bundle names, while the
-	// upstream was known as one of another service.
+	// mismatched is the present registration if it names a service that the bundle doesn't name, and
+	// the upstream isn't known as one of that service.
 	mismatched *registry.Registration
 	// shadowed is set if an older upstream has the same cookie. The upstream gets no flow: packets
 	// of the two couldn't be told apart.
--- a/internal/version/registry/catalog.go
+++ b/internal/version/registry/catalog.go
@@ -29,6 +29,8 @@
 	logStart objects.Position
 	// changed holds the upstreams that were added, changed or removed since the last TakeChanges.
 	changed map[bundle.UpstreamID]struct{}
+	// replaced holds the first entry of each upstream that was replaced by one of another service since then.
+	replaced map[bundle.UpstreamID]Registration
 	// overridden holds entries of a store that was restored from a snapshot and that are older than
 	// what was already known of their upstream. The newer registration stays in use, in entries, until
 	// heldUntil or until the store reports another change of the upstream.
@@ -75,6 +77,7 @@
 		entries:    make(map[bundle.UpstreamID]Registration),
 		retained:   make(map[bundle.UpstreamID]retainedEntry),
 		changed:    make(map[bundle.UpstreamID]struct{}),
+		replaced:   make(map[bundle.UpstreamID]Registration),
 		overridden: make(map[bundle.UpstreamID]Registration),
 	}
 }
@@ -275,6 +278,9 @@
 	if known {
 		c.updateTotals(&old, -1)
 	}
+	if _, earlier := c.replaced[r.ID]; known && !earlier && !old.Unusable && old.Service != r.Service {
+		c.replaced[r.ID] = old
+	}
 	c.updateTotals(&r, 1)
 	c.entries[r.ID] = r
 	delete(c.overridden, r.ID)
@@ -416,9 +422,15 @@
 // with their present registration, the others as removed. A catalog has thousands of entries and
 // changes several times a second while upstreams are replaced, so its users must not iterate over all
 // entries for each change.
+//
+// If the present registration replaced one of another service in between, that one precedes it. Only one of
+// the two may be the upstream's own, and a daemon that started since may know neither.
 func (c *Catalog) TakeChanges() []Change {
-	out := make([]Change, 0, len(c.changed))
+	out := make([]Change, 0, len(c.changed)+len(c.replaced))
 	for _, id := range slices.Sorted(maps.Keys(c.changed)) {
+		if r, ok := c.replaced[id]; ok && r.Service != c.entries[id].Service {
+			out = append(out, Change{Registration: r})
+		}
 		if r, ok := c.entries[id]; ok {
 			out = append(out, Change{Registration: r})
 		} else if e, ok := c.retained[id]; ok {
@@ -430,6 +442,7 @@
 	// A new map is made because the old one may be as large as the whole list, and clearing it would
 	// take time in proportion to its size.
 	c.changed = make(map[bundle.UpstreamID]struct{})
+	c.replaced = make(map[bundle.UpstreamID]Registration)
 	return out
 }
 
--- a/internal/version/registry/catalog_test.go
+++ b/internal/version/registry/catalog_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"maps"
 	"net/netip"
+	"testing"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -389,3 +390,40 @@
 		Expect(c.LoggedAfter(0, 100)).To(HaveLen(21))
 	})
 })
+
+// Guards against a daemon that never learns an upstream's own entry since another writer replaces it before the daemon's
+// next update.
+func TestEntryReplacedByAnotherServicePrecedesIt(t *testing.T) {
+	entry := func(revision objects.Position, service string) registry.Registration {
+		return registry.Registration{
+			ID: 7, Service: service, Zone: "a", Slots: 2, Address: netip.MustParseAddrPort("10.0.0.1:80"), Created: 1, Revision: revision,
+		}
+	}
+	for name, tc := range map[string]struct {
+		services []string
+		want     []string
+	}{
+		"replaced":                 {[]string{"feed", "legacy"}, []string{"feed", "legacy"}},
+		"replaced and back":        {[]string{"feed", "legacy", "feed"}, []string{"feed"}},
+		"replaced twice":           {[]string{"feed", "legacy", "other"}, []string{"feed", "other"}},
+		"changed within a service": {[]string{"feed", "feed"}, []string{"feed"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			c := registry.NewCatalog()
+			now := time.Unix(1000, 0)
+			changes := make([]registry.Change, len(tc.services))
+			for i, service := range tc.services {
+				changes[i].Registration = entry(objects.Position(i+2), service)
+			}
+			c.Apply(changes, 9, now)
+			taken := c.TakeChanges()
+			got := make([]string, len(taken))
+			for i := range taken {
+				got[i] = taken[i].Service
+			}
+			g.Expect(got).To(Equal(tc.want))
+			g.Expect(c.TakeChanges()).To(BeEmpty())
+		})
+	}
+}
