cookiedaemon: SIGHUP ends neither a start nor a departure

Cause: the handler of SIGHUP was removed when SIGTERM arrived, and not there yet in the first 250 ms, so the default action ended the process.

Change: SIGHUP is ignored from the start of Run, which takes no handler, and handled until the daemon has left. What changed before is read at the next check of the settings file. The time before Run, some milliseconds, is as it was.

--- a/internal/process/cookiedaemon/command.go
+++ b/internal/process/cookiedaemon/command.go
@@ -31,6 +31,8 @@
 
 // Run runs a balancer that forwards flows by cookie until a signal ends it.
 func (c *Command) Run(ctx context.Context) error {
+	// The default action of SIGHUP would end the process until the settings are watched.
+	signal.Ignore(syscall.SIGHUP)
 	src, err := os.ReadFile(c.Settings)
 	if err != nil {
 		return err
@@ -58,7 +60,10 @@
 	d.awaitStart(ctx)
 	term, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	c.watchSettings(term, src, d)
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	defer signal.Stop(hup) // Once the daemon has left: SIGHUP must not cut its departure short.
+	c.watchSettings(term, hup, src, d)
 	d.Leave()
 	klog.InfoS("Ended")
 	return nil
@@ -76,12 +81,9 @@
 	_ = d.awaitReady(ctx)
 }
 
-// watchSettings rereads the settings file on SIGHUP and every settingsPeriod until ctx ends. A file
+// watchSettings rereads the settings file on a signal of hup and every settingsPeriod until ctx ends. A file
 // with findings is refused as a whole.
-func (c *Command) watchSettings(ctx context.Context, src []byte, d *Daemon) {
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
-	defer signal.Stop(hup)
+func (c *Command) watchSettings(ctx context.Context, hup <-chan os.Signal, src []byte, d *Daemon) {
 	t := time.NewTicker(settingsPeriod)
 	defer t.Stop()
 	for {
--- a/internal/process/cookiedaemon/otherwriter_test.go
+++ b/internal/process/cookiedaemon/otherwriter_test.go
@@ -177,7 +177,9 @@
 // Guards against a copy of an upstream's entry under another name that takes the place of the entry itself: the upstream
 // would get no flow, or flows though it drains, and would be gone once the copy is deleted.
 func TestCopiesOfEntriesUnderOtherNames(t *testing.T) {
-	for name, state := range map[string]string{"in a state that isn't known": "archived", "in the state of the original": wire.StateReady} {
+	for name, state := range map[string]string{
+		"in a state that isn't known": "archived", "in the state of the original": wire.StateReady,
+	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			g := NewWithT(t)
