--- a/internal/connection/cookie/established.go
+++ b/internal/connection/cookie/established.go
@@ -86,8 +86,8 @@
 }
 
 // decideUnknownCookie decides on a packet whose cookie names no known upstream. It resets the flow
-// only if the registrations were complete at a time at least unknownGrace after the cookie was
-// first seen.
+// only if the registrations have been complete for unknownGrace since the cookie was first seen,
+// without an outage of the store in between: upstreams need that time after each outage.
 func (e *Engine) decideUnknownCookie(p *Packet, now time.Time) Verdict {
 	firstSeen, ok := e.unknownCookies[p.Cookie]
 	if !ok {
@@ -96,6 +96,9 @@
 		}
 		return Verdict{Cause: CauseUnknownCookie}
 	}
+	if since := e.confirmations.since; since.After(firstSeen) {
+		firstSeen = since
+	}
 	if e.confirmed.Sub(firstSeen) < unknownGrace {
 		return Verdict{Cause: CauseUnknownCookie}
 	}
