cookiedaemon: members without admission control pass on the counts of others

Change: each daemon keeps and relays reports of counts by class. Without admission control it counts and applies none, and sends only reports that hold counts, so fleets without admission control send none.

Test: «receive the counts by class through a zone reader without admission control» failed before (30 s).

--- a/internal/process/cookiedaemon/admission.go
+++ b/internal/process/cookiedaemon/admission.go
@@ -19,7 +19,7 @@
 // Without it, this daemon admits everyone until its first sum, also in a shortage. A state that arrives late is still
 // used.
 func (m *members) fetchAdmission(from netip.AddrPort) {
-	if m.classes == nil {
+	if !m.daemon.admission {
 		return
 	}
 	done := make(chan struct{})
--- a/internal/process/cookiedaemon/classes.go
+++ b/internal/process/cookiedaemon/classes.go
@@ -66,48 +66,48 @@
 
 // sendClasses sends the counts by class of this daemon and its children to its parent. The zone
 // reader instead sends the sum to the zone readers of other zones, and the total over all zones to
-// its whole zone. Without admission control, it does nothing.
+// its whole zone. Without admission control, it only passes on what other members count: while the
+// settings change, some members of a zone have admission control and others don't.
 func (m *members) sendClasses(now time.Time) {
-	if m.classes == nil {
-		return
-	}
 	v := m.view.Load()
-	m.classes.put(m.daemon.ownClasses(v.Self, now), now)
+	if own := m.daemon.ownClasses(v.Self, now); own != nil {
+		m.classes.put(own, now)
+	}
 	sum := m.classes.sum(v.Self, v.Reporters(), now)
 	if p := v.Parent(); p != nil {
-		send(m, protocolClasses, m.classReports, sum, []*peer.Member{p})
+		m.sendClassReport(sum, []*peer.Member{p})
 		return
 	}
-	send(m, protocolClasses, m.classReports, sum, v.OtherZoneReaders())
+	m.sendClassReport(sum, v.OtherZoneReaders())
 	total := m.classes.total(sum, now)
 	total.IsSum, total.Sequence = true, m.lastSequence.Add(1)
 	total.Phase = phase(now.Sub(m.daemon.started))
 	m.daemon.applyClasses(total, now)
-	send(m, protocolClasses, m.classReports, total, v.Children(peer.TreeForward, true))
+	m.sendClassReport(total, v.Children(peer.TreeForward, true))
 }
 
-// receiveClasses handles a received report of counts by class. Without admission control, it ignores
-// the report.
-func (m *members) receiveClasses(b []byte, now time.Time) error {
-	if m.classes == nil {
-		return nil
+// sendClassReport sends a report. Without admission control, it sends only one that has counts.
+func (m *members) sendClassReport(r *peer.ClassReport, to []*peer.Member) {
+	if m.daemon.admission || len(r.Classes) > 0 {
+		send(m, protocolClasses, m.classReports, r, to)
 	}
+}
+
+// receiveClasses handles a received report of counts by class.
+func (m *members) receiveClasses(b []byte, now time.Time) error {
 	return receive(m.classReports, b, func(r *peer.ClassReport) {
 		switch {
 		case !r.IsSum:
 			m.classes.put(r, now)
 		case r.Zone == m.classes.zone && m.classes.relayed.isNew(r.From, r.Sequence, now):
 			m.daemon.applyClasses(r, now)
-			send(m, protocolClasses, m.classReports, r, m.view.Load().Children(peer.TreeForward, false))
+			m.sendClassReport(r, m.view.Load().Children(peer.TreeForward, false))
 		}
 	})
 }
 
 // rotateClasses ends a window of the counts by class and deletes what no longer counts.
 func (m *members) rotateClasses(now time.Time) {
-	if m.classes == nil {
-		return
-	}
 	m.classes.relayed.expire(now)
 	m.daemon.mu.Lock()
 	defer m.daemon.mu.Unlock()
--- a/internal/process/cookiedaemon/classes_daemons_test.go
+++ b/internal/process/cookiedaemon/classes_daemons_test.go
@@ -99,6 +99,32 @@
 		Expect(off.dropped()).To(BeZero())
 	})
 
+	// The settings that switch admission control on reach the zone reader last. Guards against members that decide by what
+	// they count themselves until then, and against other zones that don't know of their callers.
+	It("receive the counts by class through a zone reader without admission control", func() {
+		w := newWorld(4)
+		start := func(i int, change func(cfg *settings.Cookie)) *node {
+			return openNode(GinkgoT(), w, w.Hosts[i], func(cfg *settings.Cookie) { cfg.Zone = "zone-1" }, change)
+		}
+		reader := start(0, func(cfg *settings.Cookie) { cfg.CPUShare = 2 })
+		member := start(1, func(cfg *settings.Cookie) { cfg.Admission = true })
+		other := start(2, func(cfg *settings.Cookie) { cfg.Admission = true })
+		far := start(3, func(cfg *settings.Cookie) { cfg.Zone, cfg.Admission = "zone-2", true })
+		for _, n := range []*node{reader, member, other, far} {
+			Eventually(n.Members, maxWait).Should(Equal(4))
+		}
+		list := []peer.ClassLoad{{Service: "feed", Priority: 2, Offered: 9, Admitted: 8, Answered: 1, BusyMillis: 70}}
+		Eventually(func() []peer.ClassLoad {
+			sendClasses(reader, member, list)
+			return far.OtherZonesClasses()
+		}, maxWait, 100*time.Millisecond).Should(Equal(list))
+		Eventually(func() bool {
+			sendClasses(reader, member, list)
+			return other.HoldsClasses(peer.IDOf(reader.cfg.Name))
+		}, maxWait, 100*time.Millisecond).Should(BeTrue(), "the total")
+		Expect(reader.dropped()).To(BeZero())
+	})
+
 	// All callers send to one member of zone-1 that isn't its store reader. Guards against a balancer that decides by
 	// what it counts itself, against flows that are counted under another class or not at all, and against a balancer
 	// that starts in a shortage and admits everyone until its first sum.
--- a/internal/process/cookiedaemon/members.go
+++ b/internal/process/cookiedaemon/members.go
@@ -46,10 +46,9 @@
 	memberLists    *peer.Codec[peer.MemberList, *peer.MemberList]
 	admission      *peer.Codec[peer.AdmissionState, *peer.AdmissionState]
 	loads          *zoneLoads
-	// classes is nil without admission control.
-	classes *zoneClasses
-	changes *memberLog
-	wg      sync.WaitGroup
+	classes        *zoneClasses
+	changes        *memberLog
+	wg             sync.WaitGroup
 	// lastSequence is the sequence number of this daemon's last report that others relay. relayed
 	// records the numbers of their reports that this daemon relayed.
 	lastSequence atomic.Uint64
@@ -123,9 +122,7 @@
 		pullLines: logs.NewLimiter(pullLines),
 		joinSlots: make(chan struct{}, max(minJoinSlots, int(joinSlotsPerCore*cfg.CPUShare))), firstMemberMet: make(chan struct{}, 1),
 	}
-	if d.admission {
-		m.classes = newZoneClasses(cfg.Zone)
-	}
+	m.classes = newZoneClasses(cfg.Zone)
 	m.lastSequence.Store(uint64(d.started.UnixNano()))
 	m.lastFragmented.Store(uint64(d.started.UnixNano()))
 	if err := m.newCodecs(keys(cfg)); err != nil {
