cookiedaemon: contacts that can't be decoded are counted and read rarely

The daemon that maintains the contacts read them each two seconds if their metadata couldn't be decoded, with a line of information each time and no count. Nothing can replace them without a revision, and the next answer is the same.

Change: it counts them as unusable, logs an error and reads them again after contactsReadPeriod. Contacts with a readable revision are replaced as before.

Test: TestUnreadableContactsAreCounted.

--- a/internal/process/cookiedaemon/contacts.go
+++ b/internal/process/cookiedaemon/contacts.go
@@ -38,6 +38,8 @@
 	latest   objects.Object[peer.Contacts]
 	latestAt time.Time
 	epoch    objects.Epoch
+	// unreadable is set if the last answer couldn't be decoded.
+	unreadable bool
 }
 
 func (d *Daemon) startContacts(ctx context.Context) (func(), error) {
@@ -124,15 +126,22 @@
 		switch err := c.read(ctx); {
 		case eris.Is(err, objects.ErrNotFound):
 			c.latest = objects.Object[peer.Contacts]{}
+		case eris.Is(err, objects.ErrUnreadable):
+			// Its revision isn't known, so it can't be replaced, and the next answer will be the same.
+			c.daemon.unusable.Add(1)
+			klog.ErrorS(err, "Contacts can't be decoded", "NextRead", contactsReadPeriod)
+			c.latestAt, c.unreadable = time.Now(), true
+			return
 		case err != nil:
 			klog.InfoS("Contacts not read", "Error", err.Error())
 			return
 		}
+		c.unreadable = false
 		c.latestAt = time.Now()
 		c.ping()
 	}
 	v := c.daemon.members.view.Load()
-	if !v.ContactsOutdated(&c.latest.Value) {
+	if c.unreadable || !v.ContactsOutdated(&c.latest.Value) {
 		return
 	}
 	next := v.Contacts(&c.latest.Value)
--- a/internal/process/cookiedaemon/otherwriter_test.go
+++ b/internal/process/cookiedaemon/otherwriter_test.go
@@ -95,6 +95,23 @@
 	}
 }
 
+// Guards against contacts that can't be decoded at all and are read again and again without a sign of it.
+func TestUnreadableContactsAreCounted(t *testing.T) {
+	g := NewWithT(t)
+	w := openWorld(t, world.Options{Seed: 1, Hosts: 2, Upstreams: 12, Callers: 12})
+	w.Store.PutRaw(kindContacts, "main", func(uint64) string { return `{"meta"` })
+	nodes := openAll(t, w)
+	unusable := func() int {
+		n := 0
+		for _, o := range nodes {
+			n += o.metric(t, "fescueshed_store_objects_unusable_total")
+		}
+		return n
+	}
+	g.Eventually(unusable, maxWait).Should(Equal(1))
+	g.Consistently(unusable, 5*time.Second).Should(Equal(1))
+}
+
 // Guards against a host that says nothing of an answer of the store that it can't decode and asks for again and again.
 func TestUnreadableAnswersAreCounted(t *testing.T) {
 	g := NewWithT(t)
