--- a/internal/process/cookiedaemon/otherwriter_test.go
+++ b/internal/process/cookiedaemon/otherwriter_test.go
@@ -33,32 +33,40 @@
 // kindContacts is the kind of the object with the daemons' contacts.
 const kindContacts = "fescueshed-contacts"
 
+// requireChangesReach drains an upstream, rolls a bundle and evacuates a zone, and requires that all of it reaches the given
+// daemons of a world with twelve upstreams, and one that joins on a host that prepare changes.
+func requireChangesReach(t *testing.T, w *world.World, nodes []*node, prepare func(joining *world.Host)) {
+	t.Helper()
+	g := NewWithT(t)
+	g.Expect(w.DrainUpstream()).To(BeTrue())
+	v := w.Roll()
+	w.Store.Put(wire.KindEvacuations, "zone-2", struct{}{})
+	h, err := w.AddHost(t.Context())
+	g.Expect(err).NotTo(HaveOccurred())
+	prepare(h)
+	nodes = append(nodes, openNode(t, w, h))
+	g.Eventually(inForce(nodes, v), maxWait).Should(BeTrue())
+	for _, n := range nodes {
+		g.Eventually(n.Ready, maxWait).Should(BeTrue())
+		g.Eventually(n.AvailableUpstreams, maxWait).Should(Equal(11))
+		g.Eventually(n.Evacuated, maxWait).Should(ContainElement(bundle.Zone("zone-2")))
+	}
+}
+
 // Guards against a drain, a bundle or an evacuation that daemons never learn of because another writer's entry stands in
 // the same answer of the store, and against daemons that don't become ready because of it.
 func TestOtherWritersEntryDoesNotHideChanges(t *testing.T) {
 	for name, spec := range otherContents {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			g := NewWithT(t)
 			w := openWorld(t, world.Options{Seed: 1, Hosts: 3, Upstreams: 12, Callers: 12})
 			nodes := openAll(t, w)
 			for _, kind := range []string{wire.KindServers, wire.KindConfig, wire.KindEvacuations, kindContacts} {
 				w.Store.PutSpec(kind, "a-report", spec)
 				w.Store.PutSpec(kind, "z-report", spec)
 			}
-			g.Expect(w.DrainUpstream()).To(BeTrue())
-			v := w.Roll()
-			w.Store.Put(wire.KindEvacuations, "zone-2", struct{}{})
-			h, err := w.AddHost(t.Context())
-			g.Expect(err).NotTo(HaveOccurred())
-			h.Seeds = nil // It learns everything from the store.
-			nodes = append(nodes, openNode(t, w, h))
-			g.Eventually(inForce(nodes, v), maxWait).Should(BeTrue())
-			for _, n := range nodes {
-				g.Eventually(n.Ready, maxWait).Should(BeTrue())
-				g.Eventually(n.AvailableUpstreams, maxWait).Should(Equal(11))
-				g.Eventually(n.Evacuated, maxWait).Should(ContainElement(bundle.Zone("zone-2")))
-			}
+			// The daemon that joins learns everything from the store.
+			requireChangesReach(t, w, nodes, func(joining *world.Host) { joining.Seeds = nil })
 		})
 	}
 }
@@ -156,7 +164,6 @@
 // Guards against hosts that refuse all that a reader of the store sends them because of what other writers have left there
 // in great number or size: those without the store get nothing then, and all others read it.
 func TestManyEntriesOfOtherWritersReachOtherHosts(t *testing.T) {
-	g := NewWithT(t)
 	w := openWorld(t, world.Options{Seed: 1, Hosts: 4, Upstreams: 12, Callers: 12})
 	const regions = `"zone-1":"r","zone-2":"r","zone-3":"r"`
 	for _, h := range w.Hosts {
@@ -175,20 +182,10 @@
 		})
 		w.Store.PutSpec(wire.KindServers, metadata.EntryName(bundle.UpstreamID(i+1)), entry)
 	}
-	g.Expect(w.DrainUpstream()).To(BeTrue())
-	v := w.Roll()
-	w.Store.Put(wire.KindEvacuations, "zone-2", struct{}{})
-	h, err := w.AddHost(t.Context())
-	g.Expect(err).NotTo(HaveOccurred())
-	h.Regions = regions
-	h.StoreProxy.SetFault(world.LinkReset)
-	nodes = append(nodes, openNode(t, w, h))
-	g.Eventually(inForce(nodes, v), maxWait).Should(BeTrue())
-	for _, n := range nodes {
-		g.Eventually(n.Ready, maxWait).Should(BeTrue())
-		g.Eventually(n.AvailableUpstreams, maxWait).Should(Equal(11))
-		g.Eventually(n.Evacuated, maxWait).Should(ContainElement(bundle.Zone("zone-2")))
-	}
+	requireChangesReach(t, w, nodes, func(joining *world.Host) {
+		joining.Regions = regions
+		joining.StoreProxy.SetFault(world.LinkReset)
+	})
 }
 
 // Guards against a copy of an upstream's entry under another name that takes the place of the entry itself: the upstream
