--- a/review/_stand2/cases.go
+++ b/review/_stand2/cases.go
@@ -42,7 +42,7 @@
 
 // playRestart restarts all balancers in turn, as planned work, while one datagram in a hundred is lost on each way.
 func playRestart(w *world) error {
-	feed := netip.MustParseAddrPort("198.18.0.1:443")
+	feed := netip.MustParseAddrPort("127.198.0.1:443")
 	if err := w.startAll([]route{newRoute("feed", "reminder-svc", feed)}); err != nil {
 		return err
 	}
@@ -102,9 +102,9 @@
 // playLimits changes the configuration: a route moves to another service, another one is dropped, and flows may be
 // discarded after a shorter idle time.
 func playLimits(w *world) error {
-	feed := netip.MustParseAddrPort("198.18.0.1:443")
-	moved := netip.MustParseAddrPort("198.18.0.2:443")
-	dropped := netip.MustParseAddrPort("198.18.0.3:443")
+	feed := netip.MustParseAddrPort("127.198.0.1:443")
+	moved := netip.MustParseAddrPort("127.198.0.2:443")
+	dropped := netip.MustParseAddrPort("127.198.0.3:443")
 	first := []route{
 		newRoute("feed", "reminder-svc", feed), newRoute("moved", "reminder-svc", moved), newRoute("dropped", "reminder-svc", dropped),
 	}
@@ -162,7 +162,7 @@
 
 // playPort lets a client open its flows from one port while its backend drains.
 func playPort(w *world) error {
-	feed := netip.MustParseAddrPort("198.18.0.1:443")
+	feed := netip.MustParseAddrPort("127.198.0.1:443")
 	if err := w.startAll([]route{newRoute("feed", "reminder-svc", feed)}); err != nil {
 		return err
 	}
@@ -229,7 +229,7 @@
 
 // playFull lets many users come at once, so that some backends hold as many flows as they can.
 func playFull(w *world) error {
-	feed := netip.MustParseAddrPort("198.18.0.1:443")
+	feed := netip.MustParseAddrPort("127.198.0.1:443")
 	w.maxConns = 40
 	if err := w.startAll([]route{newRoute("feed", "reminder-svc", feed)}); err != nil {
 		return err
@@ -270,7 +270,7 @@
 
 // playStorm adds routes in quick succession while the balancers are restarted in turn, all of it planned work.
 func playStorm(w *world) error {
-	feed := netip.MustParseAddrPort("198.18.0.1:443")
+	feed := netip.MustParseAddrPort("127.198.0.1:443")
 	routes := []route{newRoute("feed", "reminder-svc", feed)}
 	if err := w.startAll(routes); err != nil {
 		return err
@@ -287,7 +287,7 @@
 		done := make(chan struct{})
 		go w.restartInTurn(done)
 		for k := range stormChanges {
-			at := netip.AddrPortFrom(netip.AddrFrom4([4]byte{198, 18, byte(1 + i), byte(1 + k)}), 443)
+			at := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 198, byte(1 + i), byte(1 + k)}), 443)
 			routes = append(routes, newRoute(fmt.Sprintf("added-%d-%d", i, k), "reminder-svc", at))
 			w.roll(routes)
 			for range 3 {
