--- a/internal/connection/cookie/cause.go
+++ b/internal/connection/cookie/cause.go
@@ -10,6 +10,8 @@
 	ActionDrop Action = iota
 	ActionForward
 	ActionReset
+	// ActionHold keeps the packet until the inquiry about its flow ends.
+	ActionHold
 )
 
 // Cause says why a packet was forwarded or dropped, or why a flow was reset. Counters and log lines
@@ -58,6 +60,9 @@
 	// CauseOverload: the flow's service has too little capacity for all callers, and the flow was
 	// refused by its priority.
 	CauseOverload
+	// CauseAmbiguous: more than one upstream may have received a copy of the flow's first packet, and other
+	// balancers are asked at which one it opened.
+	CauseAmbiguous
 
 	// NumCauses is the number of causes.
 	NumCauses
@@ -66,6 +71,7 @@
 var causeNames = [NumCauses]string{
 	"None", "Malformed", "NoRoute", "NoUpstream", "Gone", "Dead", "Restarted", "UnknownCookie", "NoCookie", "StaleOpen",
 	"Placed", "Repeated", "Silent", "Spilled", "Evacuated", "Overload",
+	"Ambiguous",
 }
 
 // String returns the name of the cause.
@@ -82,6 +88,10 @@
 	Cause  Cause
 	// Upstream is where the packet is sent, if it is forwarded.
 	Upstream *Upstream
+	// Cookie is written into the packet if it is forwarded.
+	Cookie Cookie
+	// Inquire is set if other balancers are to be asked about the packet's flow.
+	Inquire bool
 	// Reset is the reset to send, if the flow is reset.
 	Reset Reset
 	// Admission holds the inputs of the decision if the cause is CauseOverload.
--- a/internal/connection/cookie/ejection.go
+++ b/internal/connection/cookie/ejection.go
@@ -109,7 +109,7 @@
 	}
 	var out []bundle.UpstreamID
 	for _, l := range loads {
-		u := e.index.byCookie[Cookie(l.Cookie)]
+		u, _ := e.index.find(Cookie(l.Cookie))
 		if u == nil || !u.registered || now.Before(u.ejectedUntil) {
 			continue
 		}
--- a/internal/connection/cookie/engine.go
+++ b/internal/connection/cookie/engine.go
@@ -30,6 +30,9 @@
 	// Admission decides which new flows are refused while their service has too little capacity. If
 	// it is nil, all are placed.
 	Admission *admission.Control
+	// Inquire says that other balancers are asked about ambiguous flows. Each ActionHold must then be followed by
+	// InquiryBegun, and the packet be passed to Decide again once the inquiry ends.
+	Inquire bool
 	// OnAnswered is called with the time from a request's first packet to the first acknowledgement
 	// of its answer. It may be nil.
 	OnAnswered func(took time.Duration)
@@ -47,6 +50,9 @@
 	flows     map[Key]*flow
 	// unknownCookies holds when each cookie that names no known upstream was first seen.
 	unknownCookies map[Cookie]time.Time
+	// placements are those of ambiguous flows, inquiries the questions about them to other balancers.
+	placements *placements
+	inquiries  map[Key]*inquiry
 	// confirmed is the latest time at which the registrations were known to be complete, zero if
 	// they never were.
 	confirmed     time.Time
@@ -89,6 +95,9 @@
 	Dropped   [NumCauses]uint64
 	// Restarts counts upstreams that seem to have restarted.
 	Restarts uint64
+	// Ambiguous counts flows that opened after more than one upstream may have received a copy of their first packet,
+	// Held packets that waited for an inquiry about such a flow.
+	Ambiguous, Held uint64
 }
 
 // defaultIdleTimeout is how long a flow without packets is remembered if its service sets no idle
@@ -109,6 +118,8 @@
 		waitQueues:     make(waitQueues),
 		typicalLatency: make(map[string]time.Duration),
 		unknownCookies: make(map[Cookie]time.Time),
+		placements:     newPlacements(),
+		inquiries:      make(map[Key]*inquiry),
 		activity:       make(map[string]flowActivity),
 		zoneLoads:      make(map[zoneService]zoneLoad),
 		healthByZone:   make(map[bundle.Zone]*zoneHealth),
@@ -315,10 +326,16 @@
 	switch v.Action {
 	case ActionForward:
 		e.Counters.Forwarded[v.Cause]++
+		v.Cookie = v.Upstream.Cookie
+		if p.opensFlow() {
+			v.Cookie = v.Cookie.Tentative()
+		}
 	case ActionReset:
 		e.Counters.Reset[v.Cause]++
 	case ActionDrop:
 		e.Counters.Dropped[v.Cause]++
+	case ActionHold:
+		e.Counters.Held++
 	}
 	return v
 }
--- a/internal/connection/cookie/established.go
+++ b/internal/connection/cookie/established.go
@@ -20,7 +20,7 @@
 // decideEstablished decides on a packet of an established flow.
 func (e *Engine) decideEstablished(p *Packet, r *bundle.CallerRoute, now time.Time) Verdict {
 	f := e.flows[p.Key]
-	if f == nil {
+	if f == nil || !f.opened && e.mayHaveOpenedElsewhere(f, p, now) {
 		return e.adopt(p, r, now)
 	}
 	if !f.opened {
@@ -37,18 +37,28 @@
 	return Verdict{Action: ActionForward, Upstream: u}
 }
 
+// mayHaveOpenedElsewhere reports whether a flow that isn't known to be open may have opened through another balancer, at
+// another upstream than the one whose tentative cookie the packet carries.
+func (e *Engine) mayHaveOpenedElsewhere(f *flow, p *Packet, now time.Time) bool {
+	_, tentative := e.index.find(p.Cookie)
+	return tentative && !f.sawAllCopies(now)
+}
+
 // markOpened notes at which upstream the flow opened. That is the one whose answer the caller
 // acknowledges, and so the one whose cookie it repeats, not necessarily the one that the flow was
 // sent to last. From then on the record decides, not the cookie: if a second upstream, tried while the
 // first was slow, answers late, the caller repeats that one's cookie. By the cookie alone, the
 // flow's packets would go to an upstream that resets them.
 func (e *Engine) markOpened(f *flow, p *Packet, now time.Time) {
-	if u := e.index.byCookie[p.Cookie]; u != nil && u != f.upstream {
+	if u, _ := e.index.find(p.Cookie); u != nil && u != f.upstream {
 		f.moveTo(u, now)
 	}
 	if p.Flags.Has(FlagRST) {
 		return
 	}
+	if !f.onlyPlacedHere(now) {
+		e.notePlacement(p.Key, f.upstream, p.Ack, now)
+	}
 	f.opened = true
 	e.noteRoundTrip(f, now)
 	f.ack, f.next = p.Ack, p.Seq
@@ -61,10 +71,17 @@
 	if p.Cookie == 0 {
 		return Verdict{Cause: CauseNoCookie}
 	}
-	u := e.index.byCookie[p.Cookie]
+	u, tentative := e.index.find(p.Cookie)
 	if u == nil {
 		return e.decideUnknownCookie(p, now)
 	}
+	if tentative {
+		to, begins := e.inquire(p, u, now)
+		if to == nil {
+			return Verdict{Action: ActionHold, Cause: CauseAmbiguous, Inquire: begins}
+		}
+		u = to
+	}
 	if u.health == HealthDead {
 		return resetVerdict(p, deadCause(u))
 	}
@@ -79,6 +96,12 @@
 	f := &flow{
 		upstream: u, class: e.classOf(u.Route.Service, r), opened: true, lastPacket: now, placedAt: now, ack: p.Ack, next: p.Seq,
 	}
+	if former := e.flows[p.Key]; former != nil {
+		e.forgetFlow(p.Key, former)
+	}
+	if tentative {
+		e.notePlacement(p.Key, u, p.Ack, now)
+	}
 	e.flows[p.Key] = f
 	u.addFlowRecords(1)
 	e.observe(f, p, r, now)
@@ -89,10 +112,10 @@
 // only if the registrations have been complete for unknownGrace since the cookie was first seen,
 // without an outage of the store in between: upstreams need that time after each outage.
 func (e *Engine) decideUnknownCookie(p *Packet, now time.Time) Verdict {
-	firstSeen, ok := e.unknownCookies[p.Cookie]
+	firstSeen, ok := e.unknownCookies[p.Cookie.base()]
 	if !ok {
 		if len(e.unknownCookies) < maxUnknownCookies {
-			e.unknownCookies[p.Cookie] = now
+			e.unknownCookies[p.Cookie.base()] = now
 		}
 		return Verdict{Cause: CauseUnknownCookie}
 	}
--- a/internal/connection/cookie/flow.go
+++ b/internal/connection/cookie/flow.go
@@ -87,10 +87,12 @@
 var copyIntervals = [...]time.Duration{200 * time.Millisecond, 400 * time.Millisecond}
 
 // onlyPlacedHere reports whether no other balancer can have placed the flow at another upstream, where
-// it may be open by now: all copies of its first packet that the caller can have sent arrived here, and
-// none was sent to another upstream.
-func (f *flow) onlyPlacedHere(now time.Time) bool {
-	if f.missesCopy || f.previous != nil {
+// it may be open by now: this one saw all copies of its first packet and sent none to another upstream.
+func (f *flow) onlyPlacedHere(now time.Time) bool { return f.previous == nil && f.sawAllCopies(now) }
+
+// sawAllCopies reports whether all copies of the first packet that the caller can have sent arrived here.
+func (f *flow) sawAllCopies(now time.Time) bool {
+	if f.missesCopy {
 		return false
 	}
 	interval := lastCopyLifetime
--- a/internal/connection/cookie/index.go
+++ b/internal/connection/cookie/index.go
@@ -9,8 +9,8 @@
 // index finds upstreams by cookie, by service and by what is to be done about them. It is updated
 // by each change and never rebuilt, and no walk over it covers upstreams that need nothing.
 type index struct {
-	// byCookie holds the upstream that each cookie names, shadowed the upstreams that have the same
-	// cookie and registered later.
+	// byCookie holds the upstream that each cookie names, by Cookie.base, shadowed the upstreams that have the
+	// same cookies and registered later.
 	byCookie map[Cookie]*Upstream
 	shadowed map[Cookie][]*Upstream
 	// pools holds the registered upstreams of each service, one pool for each zone.
@@ -60,7 +60,7 @@
 // deregistered lately. An upstream that registered earlier keeps its cookie if another one has the
 // same: no other upstream can have had it in a flow before. The later one gets no flow for as long.
 func (x *index) assignCookie(u *Upstream) {
-	first := x.byCookie[u.Cookie]
+	first := x.byCookie[u.Cookie.base()]
 	switch {
 	case first == nil || first == u:
 		x.name(u)
@@ -74,23 +74,23 @@
 
 // name makes an upstream's cookie name it.
 func (x *index) name(u *Upstream) {
-	x.byCookie[u.Cookie], u.shadowed = u, false
+	x.byCookie[u.Cookie.base()], u.shadowed = u, false
 	x.update(u)
 }
 
 // shadow marks an upstream as one whose cookie names an older upstream.
 func (x *index) shadow(u *Upstream) {
 	u.shadowed = true
-	x.shadowed[u.Cookie] = append(x.shadowed[u.Cookie], u)
+	x.shadowed[u.Cookie.base()] = append(x.shadowed[u.Cookie.base()], u)
 	x.update(u)
 }
 
 // releaseCookie makes an upstream's cookie no longer name it. If it named it, the oldest of the
 // upstreams that it shadowed takes the cookie over.
 func (x *index) releaseCookie(u *Upstream) {
-	others := slices.DeleteFunc(x.shadowed[u.Cookie], func(o *Upstream) bool { return o == u })
-	if x.byCookie[u.Cookie] == u {
-		delete(x.byCookie, u.Cookie)
+	others := slices.DeleteFunc(x.shadowed[u.Cookie.base()], func(o *Upstream) bool { return o == u })
+	if x.byCookie[u.Cookie.base()] == u {
+		delete(x.byCookie, u.Cookie.base())
 		if len(others) > 0 {
 			next := slices.MinFunc(others, compareAge)
 			others = slices.DeleteFunc(others, func(o *Upstream) bool { return o == next })
@@ -98,9 +98,9 @@
 		}
 	}
 	if len(others) > 0 {
-		x.shadowed[u.Cookie] = others
+		x.shadowed[u.Cookie.base()] = others
 	} else {
-		delete(x.shadowed, u.Cookie)
+		delete(x.shadowed, u.Cookie.base())
 	}
 }
 
--- a/internal/connection/cookie/open.go
+++ b/internal/connection/cookie/open.go
@@ -71,6 +71,7 @@
 		return resetVerdict(p, CauseNoUpstream)
 	}
 	f := newFlow(u, class, p, now)
+	delete(e.placements.byKey, p.Key)
 	e.flows[p.Key] = f
 	u.addFlowRecords(1)
 	f.addToLoad()
--- a/internal/connection/cookie/packet.go
+++ b/internal/connection/cookie/packet.go
@@ -7,6 +7,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/rotisserie/eris"
 
+	"github.com/fescueshed/fescueshed/internal/connection/peer"
 	"github.com/fescueshed/fescueshed/internal/version/bundle"
 )
 
@@ -18,7 +19,7 @@
 	var b [8]byte
 	binary.BigEndian.PutUint64(b[:], uint64(id))
 	c := Cookie(xxhash.Sum64(b[:]))
-	if c == 0 {
+	if c.base() == 0 {
 		return 1
 	}
 	return c
@@ -58,12 +59,25 @@
 
 // hash distributes new flows. All balancers compute the same hash.
 func (k Key) hash() uint64 {
-	var b [12]byte
+	b := k.Bytes()
+	return xxhash.Sum64(b[:])
+}
+
+// Bytes encodes the key.
+func (k Key) Bytes() (b peer.FlowKey) {
 	copy(b[0:], k.CallerIP[:])
 	copy(b[4:], k.ServiceIP[:])
 	binary.BigEndian.PutUint16(b[8:], k.CallerPort)
 	binary.BigEndian.PutUint16(b[10:], k.ServicePort)
-	return xxhash.Sum64(b[:])
+	return b
+}
+
+// KeyOf decodes a key that Bytes encoded.
+func KeyOf(b peer.FlowKey) Key {
+	return Key{
+		CallerIP: [4]byte(b[0:]), ServiceIP: [4]byte(b[4:]),
+		CallerPort: binary.BigEndian.Uint16(b[8:]), ServicePort: binary.BigEndian.Uint16(b[10:]),
+	}
 }
 
 // Packet holds the fields of a caller's packet that balancers read.
--- a/internal/connection/cookie/probe.go
+++ b/internal/connection/cookie/probe.go
@@ -144,7 +144,7 @@
 
 // UpstreamByCookie returns the upstream that a cookie names, and whether there is one.
 func (e *Engine) UpstreamByCookie(c Cookie) (bundle.UpstreamID, bool) {
-	u := e.index.byCookie[c]
+	u, _ := e.index.find(c)
 	if u == nil {
 		return 0, false
 	}
@@ -223,6 +223,7 @@
 // It is to be called about once a second.
 func (e *Engine) Expire(now time.Time) {
 	e.expireRequests(now)
+	e.placements.expire(e.opts.FlowLifetime, now)
 	for k, f := range e.flows {
 		age := now.Sub(f.lastPacket)
 		if age > loadTimeout {
--- a/internal/connection/peer/codec.go
+++ b/internal/connection/peer/codec.go
@@ -20,6 +20,7 @@
 	DomainAdvertisement       Domain = "fescueshed news 5\n"
 	DomainReport              Domain = "fescueshed report 3\n"
 	DomainClasses             Domain = "fescueshed classes 1\n"
+	DomainPlacements          Domain = "fescueshed placements 1\n"
 	DomainCatalog             Domain = "fescueshed catalog 5\n"
 	DomainPackedCatalog       Domain = "fescueshed packed catalog 1\n"
 	DomainMemberList          Domain = "fescueshed members 1\n"
--- a/internal/process/cookiedaemon/daemon.go
+++ b/internal/process/cookiedaemon/daemon.go
@@ -99,6 +99,7 @@
 		Policy:        upstream.NewZoneAware(cfg.Zone, upstream.DefaultChoices),
 		FlowLifetime:  time.Duration(cfg.FlowLifetime),
 		Admission:     control,
+		Inquire:       true,
 		OnAnswered:    func(took time.Duration) { d.answerSeconds.Update(took.Seconds()) },
 	})
 	d.cfg.Store(cfg)
@@ -205,7 +206,8 @@
 func (d *Daemon) ReadsStore() bool { return d.shouldReadStore(time.Now()) }
 
 // tick runs every tickPeriod. It records that the process is running, expires the upstreams and
-// evacuations that are held in place of the store's content, and sends the probes that are due.
+// evacuations that are held in place of the store's content, and sends the probes and the placements
+// that are due.
 func (d *Daemon) tick(now time.Time) {
 	d.pauses.Observe(now)
 	d.mu.Lock()
@@ -214,6 +216,7 @@
 	due := d.engine.DueProbes(now)
 	d.mu.Unlock()
 	d.probes.send(due)
+	d.members.placements.tick(now)
 }
 
 // sweep runs every sweepPeriod. It expires flows and sends this daemon's loads, counts by class and
@@ -227,6 +230,7 @@
 	d.members.rotateClasses(now)
 	d.members.sendClasses(now)
 	d.members.advertise(now)
+	d.members.placements.followView()
 	d.members.relayed.expire(now)
 	d.members.changes.logSummaries(d.Members(), now)
 }
--- a/internal/process/cookiedaemon/data.go
+++ b/internal/process/cookiedaemon/data.go
@@ -147,8 +147,14 @@
 		d.daemon.drop(cookie.CauseStaleOpen)
 		return
 	}
+	d.resetBuf = d.decide(b, &p, d.resetBuf, now)
+}
+
+// decide decides on a packet and forwards it, resets its flow, drops it, or holds it while other daemons are asked about
+// its flow. It returns the buffer for the next reset.
+func (d *data) decide(b []byte, p *cookie.Packet, resetBuf []byte, now time.Time) []byte {
 	d.daemon.mu.Lock()
-	v := d.daemon.engine.Decide(&p, now)
+	v := d.daemon.engine.Decide(p, now)
 	in := d.daemon.inputs(now)
 	var to netip.AddrPort
 	route := v.Reset.Upstream
@@ -157,17 +163,24 @@
 	}
 	if v.Action == cookie.ActionForward {
 		to = route.Address
-		d.daemon.platform.Packets.Forward(b, route.ID, v.Upstream.Cookie)
+		d.daemon.platform.Packets.Forward(b, route.ID, v.Cookie)
+	}
+	if v.Action == cookie.ActionHold {
+		d.daemon.members.placements.hold(b, p)
 	}
 	d.daemon.mu.Unlock()
 	switch v.Action {
 	case cookie.ActionForward:
 		d.write(b, to)
 	case cookie.ActionReset:
-		d.resetBuf = d.reset(d.resetBuf, &v.Reset)
-	case cookie.ActionDrop:
+		resetBuf = d.reset(resetBuf, &v.Reset)
+	case cookie.ActionDrop, cookie.ActionHold:
+	}
+	d.daemon.logs.decided(p, &v, route, in, now)
+	if v.Inquire {
+		d.daemon.members.placements.inquire(p)
 	}
-	d.daemon.logs.decided(&p, &v, route, in, now)
+	return resetBuf
 }
 
 // reset sends a reset to its caller and returns the buffer for the next one.
--- a/internal/process/cookiedaemon/http.go
+++ b/internal/process/cookiedaemon/http.go
@@ -73,6 +73,17 @@
 		defer d.mu.Unlock()
 		return d.engine.Counters.Restarts
 	})
+	count("fescueshed_flows_ambiguous_total", func() uint64 {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		return d.engine.Counters.Ambiguous
+	})
+	count("fescueshed_packets_held_total", func() uint64 {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		return d.engine.Counters.Held
+	})
+	count("fescueshed_inquiries_answered_total", d.members.placements.found.Load)
 	count("fescueshed_store_objects_unusable_total", d.unusable.Load)
 	count("fescueshed_probes_total", d.probes.sent.Load)
 	count("fescueshed_control_received_bytes_total", d.members.receivedBytes.Load)
--- a/internal/process/cookiedaemon/log.go
+++ b/internal/process/cookiedaemon/log.go
@@ -103,6 +103,7 @@
 
 var actionLines = [...]string{
 	cookie.ActionDrop: "Packet dropped", cookie.ActionForward: "Flow placed", cookie.ActionReset: "Flow reset",
+	cookie.ActionHold: "Packet held",
 }
 
 func (l *decisionLog) paused() {
--- a/internal/process/cookiedaemon/members.go
+++ b/internal/process/cookiedaemon/members.go
@@ -27,6 +27,7 @@
 	// protocolFragment is a part of a message that is longer than a datagram.
 	protocolFragment
 	protocolClasses
+	protocolPlacements
 )
 
 // members communicates with the other daemons.
@@ -34,13 +35,14 @@
 	daemon *Daemon
 	ctx    context.Context
 	ports  *udpport.Ports
-	// swim, advertisements, reports, classReports, catalog, packedCatalogs and memberLists encode and
+	// swim, advertisements, reports, classReports, placementCodec, catalog, packedCatalogs and memberLists encode and
 	// decode the messages between daemons: those of the membership, advertisements, reports of loads
-	// and of counts by class, catalogs and lists of members.
+	// and of counts by class, placements of flows, catalogs and lists of members.
 	swim           *peer.SequencedCodec[peer.Message, *peer.Message]
 	advertisements *peer.SequencedCodec[peer.Advertisement, *peer.Advertisement]
 	reports        *peer.SequencedCodec[peer.Report, *peer.Report]
 	classReports   *peer.SequencedCodec[peer.ClassReport, *peer.ClassReport]
+	placementCodec *peer.SequencedCodec[peer.Placements, *peer.Placements]
 	catalog        *peer.Codec[peer.Catalog, *peer.Catalog]
 	packedCatalogs *peer.Codec[peer.PackedCatalog, *peer.PackedCatalog]
 	memberLists    *peer.Codec[peer.MemberList, *peer.MemberList]
@@ -48,6 +50,7 @@
 	loads          *zoneLoads
 	classes        *zoneClasses
 	changes        *memberLog
+	placements     *placements
 	wg             sync.WaitGroup
 	// lastSequence is the sequence number of this daemon's last report that others relay. relayed
 	// records the numbers of their reports that this daemon relayed.
@@ -123,6 +126,7 @@
 		joinSlots: make(chan struct{}, max(minJoinSlots, int(joinSlotsPerCore*cfg.CPUShare))), firstMemberMet: make(chan struct{}, 1),
 	}
 	m.classes = newZoneClasses(cfg.Zone)
+	m.placements = newPlacements(m)
 	m.lastSequence.Store(uint64(d.started.UnixNano()))
 	m.lastFragmented.Store(uint64(d.started.UnixNano()))
 	if err := m.newCodecs(keys(cfg)); err != nil {
@@ -196,6 +200,9 @@
 	if m.classReports, err = peer.NewSequencedCodec[peer.ClassReport](k, peer.DomainClasses); err != nil {
 		return err
 	}
+	if m.placementCodec, err = peer.NewSequencedCodec[peer.Placements](k, peer.DomainPlacements); err != nil {
+		return err
+	}
 	if m.catalog, err = peer.NewCodec[peer.Catalog](k.Seal, peer.DomainCatalog); err != nil {
 		return err
 	}
@@ -221,6 +228,7 @@
 	m.advertisements.SetKeys(k)
 	m.reports.SetKeys(k)
 	m.classReports.SetKeys(k)
+	m.placementCodec.SetKeys(k)
 	m.catalog.SetKeys(k)
 	m.packedCatalogs.SetKeys(k)
 	m.memberLists.SetKeys(k)
@@ -254,6 +262,8 @@
 		err = receive(m.reports, body, func(r *peer.Report) { m.receiveReport(r, now) })
 	case protocolClasses:
 		err = m.receiveClasses(body, now)
+	case protocolPlacements:
+		err = receive(m.placementCodec, body, func(p *peer.Placements) { m.placements.receive(p, now) })
 	default:
 		err = peer.ErrMessage
 	}
--- a/internal/standin/flows/upstream.go
+++ b/internal/standin/flows/upstream.go
@@ -220,13 +220,14 @@
 func (u *Upstream) accept(s *Segment, f *upstreamFlow) {
 	if f == nil || f.expectedSeq != s.Seq+1 {
 		f = &upstreamFlow{caller: s.From, service: s.To, expectedSeq: s.Seq + 1, nextSeq: rand.Uint32()}
+		f.unacked = []*Segment{{Flags: cookie.FlagSYN | cookie.FlagACK, Seq: f.nextSeq - 1, Ack: f.expectedSeq}}
 		u.flows[s.From] = f
 	}
 	if f.open {
 		return // A late retransmission.
 	}
 	f.cookie = s.Cookie
-	u.send(f, &Segment{Flags: cookie.FlagSYN | cookie.FlagACK, Seq: f.nextSeq - 1, Ack: f.expectedSeq})
+	u.send(f, f.unacked[0])
 }
 
 func (u *Upstream) reject(s *Segment) {
@@ -292,6 +293,8 @@
 			}
 			if f.retransmits++; f.retransmits <= maxRetransmits {
 				u.send(f, f.unacked[0])
+			} else if !f.open {
+				delete(u.flows, f.caller)
 			}
 		}
 		u.mu.Unlock()
--- a/internal/standin/world/world.go
+++ b/internal/standin/world/world.go
@@ -414,7 +414,7 @@
 func (w *World) upstreamOf(c cookie.Cookie) *Upstream {
 	for _, list := range [][]*Upstream{w.upstreams, w.removed} {
 		for _, s := range list {
-			if cookie.Of(s.ID) == c {
+			if c.IsOf(s.ID) {
 				return s
 			}
 		}
