--- a/internal/process/cookiedaemon/bundle.go
+++ b/internal/process/cookiedaemon/bundle.go
@@ -1,12 +1,14 @@
 package cookiedaemon
 
 import (
+	"slices"
 	"time"
 
 	"github.com/rotisserie/eris"
 	"k8s.io/klog/v2"
 
 	"github.com/fescueshed/fescueshed/internal/version/bundle"
+	"github.com/fescueshed/fescueshed/internal/version/hujson"
 	"github.com/fescueshed/fescueshed/internal/version/objects"
 )
 
@@ -84,9 +86,7 @@
 		if err != nil {
 			return err
 		}
-		if err := a.Bundle.CheckRegions(d.cfg.Load().KnownRegions()); err != nil {
-			return err
-		}
+		d.logFindings(&a)
 		routing := bundle.NewRouting(a.Version, a.Bundle, nil)
 		d.mu.Lock()
 		d.state.history.Add(a, step)
@@ -111,6 +111,24 @@
 	}
 }
 
+// logFindings logs the parts of a bundle that can't be used as written, and counts them. They don't keep the rest from
+// coming into force: what the platform has accepted counts.
+func (d *Daemon) logFindings(a *bundle.Accepted) {
+	list := a.Findings
+	var unknown *hujson.FindingsError
+	if err := a.Bundle.CheckRegions(d.cfg.Load().KnownRegions()); eris.As(err, &unknown) {
+		list = append(slices.Clone(list), unknown.List...)
+	}
+	d.bundleFindings.Store(int64(len(list)))
+	for i := range list[:min(len(list), maxFindingLines)] {
+		klog.ErrorS(nil, "Part of the bundle can't be used", "Version", a.Version, "Field", list[i].Field, "Problem", list[i].Problem,
+			"Findings", len(list))
+	}
+}
+
+// maxFindingLines bounds the lines about one version of the bundle.
+const maxFindingLines = 10
+
 // refuseBundle handles a bundle that can't be put in force. If the update doesn't apply to the
 // bundle in force, the whole bundle is requested next: this daemon then holds a different bundle
 // under the version number that the update starts from, as after the store was restored from a
--- a/internal/process/cookiedaemon/daemon.go
+++ b/internal/process/cookiedaemon/daemon.go
@@ -58,7 +58,9 @@
 	// the daemon runs.
 	admission bool
 	// unusable counts stored objects that could not be used, once for each read.
-	unusable        atomic.Uint64
+	unusable atomic.Uint64
+	// bundleFindings is the number of parts of the newest bundle that can't be used as written.
+	bundleFindings  atomic.Int64
 	departure       departure
 	outdatedAnswers kindCounts
 	// unreadableAnswers counts answers that couldn't be decoded.
--- a/internal/process/cookiedaemon/http.go
+++ b/internal/process/cookiedaemon/http.go
@@ -96,6 +96,7 @@
 	count("fescueshed_log_lines_left_out_total", d.logs.leftOut.Load)
 	s.NewGauge("fescueshed_flows", func() float64 { return float64(d.flows()) })
 	s.NewGauge("fescueshed_members", func() float64 { return float64(d.Members()) })
+	s.NewGauge("fescueshed_bundle_findings", func() float64 { return float64(d.bundleFindings.Load()) })
 	s.NewGauge("fescueshed_bundle_version", func() float64 { return float64(d.inForce.Version()) })
 	for k := range numKinds {
 		s.NewGauge(fmt.Sprintf("fescueshed_store_kind_age_seconds{kind=%q}", k), func() float64 {
--- a/internal/standin/metadata/objects.go
+++ b/internal/standin/metadata/objects.go
@@ -38,7 +38,8 @@
 	for i := range b.Services {
 		o := &b.Services[i]
 		c.Services = append(c.Services, wire.Service{
-			Name: o.Name, HealthPath: o.HealthPath, MaxConns: o.Connections, WarmupPerS: o.WarmupRate,
+			ServiceName: wire.ServiceName{Name: o.Name, HealthPath: o.HealthPath},
+			MaxConns:    o.Connections, WarmupPerS: o.WarmupRate,
 		})
 		c.Limits.IdleTimeoutMs = time.Duration(o.IdleTimeout).Milliseconds()
 	}
@@ -51,7 +52,9 @@
 // encodeRoute returns a route in the platform's form.
 func encodeRoute(r *bundle.Route) wire.Route {
 	out := wire.Route{
-		Name: r.Name, Host: r.Address.Addr().String(), PathPrefix: fmt.Sprintf("/%d/", r.Address.Port()),
+		RouteTarget: wire.RouteTarget{
+			Name: r.Name, Host: r.Address.Addr().String(), PathPrefix: fmt.Sprintf("/%d/", r.Address.Port()),
+		},
 		Kind: wire.RouteUnsafe, TimeoutMs: time.Duration(r.Deadline).Milliseconds(), Priority: r.Priority,
 	}
 	for _, region := range r.Regions {
--- a/internal/version/bundle/bundle.go
+++ b/internal/version/bundle/bundle.go
@@ -122,6 +122,14 @@
 func newFindings() *hujson.Findings { return &hujson.Findings{File: "bundle"} }
 
 func (b *Bundle) check(f *hujson.Findings) {
+	if len(b.Services) == 0 {
+		f.Add("Services", "at least one service is needed")
+	}
+	b.checkParts(f)
+}
+
+// checkParts checks all parts of a bundle, which may have none.
+func (b *Bundle) checkParts(f *hujson.Findings) {
 	c := checker{
 		findings:  f,
 		names:     make(map[string]string),
@@ -131,9 +139,6 @@
 		ids:       make(map[UpstreamID]string),
 		routable:  make(map[string]bool),
 	}
-	if len(b.Services) == 0 {
-		f.Add("Services", "at least one service is needed")
-	}
 	for i := range b.Services {
 		c.service(fmt.Sprintf("Services[%d]", i), &b.Services[i])
 	}
--- a/internal/version/bundle/route.go
+++ b/internal/version/bundle/route.go
@@ -103,9 +103,3 @@
 	}
 	return f.Err()
 }
-
-// Accepted is a bundle that the platform has accepted, which counts as its approval.
-type Accepted struct {
-	Version Version
-	Bundle  *Bundle
-}
--- a/internal/version/bundle/update.go
+++ b/internal/version/bundle/update.go
@@ -67,7 +67,12 @@
 	if b.Digest() != u.Digest {
 		return Accepted{}, eris.Wrapf(ErrUpdateMismatch, "result differs from the sender's version %d", u.To)
 	}
-	return Accepted{Version: u.To, Bundle: b}, b.Check()
+	for i := range b.Services {
+		b.Services[i].fillDefaults()
+	}
+	f := newFindings()
+	b.checkParts(f) // The platform may accept a bundle without services, which ends all flows.
+	return Accepted{Version: u.To, Bundle: b}, f.Err()
 }
 
 // Then returns the update that has the effect of u followed by next.
