--- a/internal/process/cookiedaemon/ambiguous_test.go
+++ b/internal/process/cookiedaemon/ambiguous_test.go
@@ -103,7 +103,7 @@
 	DescribeTable("stays at the one at which it opened, whichever answer its caller got last",
 		func(next int) {
 			w := newWorld(2)
-			var nodes []*node
+			nodes := make([]*node, 0, len(w.Hosts))
 			for _, h := range w.Hosts {
 				nodes = append(nodes, openNode(GinkgoT(), w, h, func(cfg *settings.Cookie) { cfg.Zone = "zone-1" }))
 			}
--- a/internal/process/cookiedaemon/http.go
+++ b/internal/process/cookiedaemon/http.go
@@ -73,17 +73,7 @@
 		defer d.mu.Unlock()
 		return d.engine.Counters.Restarts
 	})
-	count("fescueshed_flows_ambiguous_total", func() uint64 {
-		d.mu.Lock()
-		defer d.mu.Unlock()
-		return d.engine.Counters.Ambiguous
-	})
-	count("fescueshed_packets_held_total", func() uint64 {
-		d.mu.Lock()
-		defer d.mu.Unlock()
-		return d.engine.Counters.Held
-	})
-	count("fescueshed_inquiries_answered_total", d.members.placements.found.Load)
+	d.countInquiries(count)
 	count("fescueshed_store_objects_unusable_total", d.unusable.Load)
 	count("fescueshed_probes_total", d.probes.sent.Load)
 	count("fescueshed_control_received_bytes_total", d.members.receivedBytes.Load)
@@ -121,6 +111,21 @@
 	return s
 }
 
+// countInquiries adds the counters of ambiguous flows.
+func (d *Daemon) countInquiries(count func(string, func() uint64)) {
+	count("fescueshed_flows_ambiguous_total", func() uint64 {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		return d.engine.Counters.Ambiguous
+	})
+	count("fescueshed_packets_held_total", func() uint64 {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		return d.engine.Counters.Held
+	})
+	count("fescueshed_inquiries_answered_total", d.members.placements.found.Load)
+}
+
 // countTransfers adds the counters of transfers. Wasted bytes were received and discarded, since
 // the rest of the transfer didn't arrive in time.
 func countTransfers(count func(string, func() uint64), name string, t *transfer.Counts) {
