--- a/internal/connection/cookie/cause.go
+++ b/internal/connection/cookie/cause.go
@@ -63,6 +63,10 @@
 	// CauseAmbiguous: more than one upstream may have received a copy of the flow's first packet, and other
 	// balancers are asked at which one it opened.
 	CauseAmbiguous
+	// CauseRouteUnknown: no route has the destination address, but another balancer may have received one. The packet
+	// of an open flow is forwarded by its cookie, one that requests a flow is dropped while a newer routing table is
+	// known to exist.
+	CauseRouteUnknown
 
 	// NumCauses is the number of causes.
 	NumCauses
@@ -71,7 +75,7 @@
 var causeNames = [NumCauses]string{
 	"None", "Malformed", "NoRoute", "NoUpstream", "Gone", "Dead", "Restarted", "UnknownCookie", "NoCookie", "StaleOpen",
 	"Placed", "Repeated", "Silent", "Spilled", "Evacuated", "Overload",
-	"Ambiguous",
+	"Ambiguous", "RouteUnknown",
 }
 
 // String returns the name of the cause.
--- a/internal/connection/cookie/class.go
+++ b/internal/connection/cookie/class.go
@@ -17,9 +17,9 @@
 const cookieBits = 32
 
 // classOf returns the counter of the class of a route's flows at a service, nil without admission
-// control.
+// control or if the route isn't known.
 func (e *Engine) classOf(s *bundle.ServiceRoute, r *bundle.CallerRoute) *admission.Counter {
-	if e.opts.Admission == nil || s.Name == "" {
+	if e.opts.Admission == nil || r == nil || s.Name == "" {
 		return nil
 	}
 	return e.opts.Admission.Class(s.Name, classPriority(r))
--- a/internal/connection/cookie/engine.go
+++ b/internal/connection/cookie/engine.go
@@ -53,6 +53,13 @@
 	// placements are those of ambiguous flows, inquiries the questions about them to other balancers.
 	placements *placements
 	inquiries  map[Key]*inquiry
+	// routingConfirmed is the latest time at which the routing table in force was known to be the newest one, zero if
+	// it never was. newerVersion is the newest version of which another balancer told, at newerHeardAt.
+	routingConfirmed time.Time
+	newerVersion     bundle.Version
+	newerHeardAt     time.Time
+	// unrouted holds since when flows have no route that may have opened by a newer routing table.
+	unrouted map[Key]time.Time
 	// confirmed is the latest time at which the registrations were known to be complete, zero if
 	// they never were.
 	confirmed     time.Time
@@ -118,6 +125,7 @@
 		waitQueues:     make(waitQueues),
 		typicalLatency: make(map[string]time.Duration),
 		unknownCookies: make(map[Cookie]time.Time),
+		unrouted:       make(map[Key]time.Time),
 		placements:     newPlacements(),
 		inquiries:      make(map[Key]*inquiry),
 		activity:       make(map[string]flowActivity),
@@ -147,7 +155,7 @@
 func (e *Engine) Flows() int { return len(e.flows) }
 
 // SetRouting puts a newer routing table in force. It returns resets for the flows whose route the
-// table no longer has, and for flows of upstreams whose registration becomes usable by the table
+// table drops, and for flows of upstreams whose registration becomes usable by the table
 // and shows a restart.
 func (e *Engine) SetRouting(r *bundle.Routing, now time.Time) []Reset {
 	first := e.routing == nil
@@ -162,12 +170,7 @@
 			out = append(out, e.register(u.mismatched, now)...)
 		}
 	}
-	for k, f := range e.flows {
-		if r.RouteAt(k.Service()) == nil {
-			out = append(out, e.endFlow(k, f, CauseNoRoute))
-		}
-	}
-	return out
+	return append(out, e.updateRoutes(now)...)
 }
 
 // updateServices makes the upstreams of services whose settings the routing table changes refer to
@@ -345,11 +348,8 @@
 		return Verdict{Cause: CauseNoRoute}
 	}
 	r := e.routing.RouteAt(p.Key.Service())
-	if r == nil && p.isRetransmitted() {
-		return Verdict{Cause: CauseNoRoute}
-	}
 	if r == nil {
-		return resetVerdict(p, CauseNoRoute)
+		return e.decideUnrouted(p, now)
 	}
 	if p.opensFlow() {
 		return e.decideFirst(p, r, now)
@@ -380,4 +380,5 @@
 	f.removeFromLoad()
 	f.upstream.addFlowRecords(-1)
 	delete(e.flows, k)
+	delete(e.unrouted, k)
 }
--- a/internal/connection/cookie/established.go
+++ b/internal/connection/cookie/established.go
@@ -17,7 +17,7 @@
 	maxUnknownCookies = 4096
 )
 
-// decideEstablished decides on a packet of an established flow.
+// decideEstablished decides on a packet of an established flow. r is nil if the routing table has no route for it.
 func (e *Engine) decideEstablished(p *Packet, r *bundle.CallerRoute, now time.Time) Verdict {
 	f := e.flows[p.Key]
 	if f == nil || !f.opened && e.mayHaveOpenedElsewhere(f, p, now) {
@@ -66,7 +66,7 @@
 }
 
 // adopt decides on a packet of a flow that this balancer has no record of, and adds one if the
-// cookie names a live upstream.
+// cookie names a live upstream. r is nil if the routing table has no route for the flow.
 func (e *Engine) adopt(p *Packet, r *bundle.CallerRoute, now time.Time) Verdict {
 	if p.Cookie == 0 {
 		return Verdict{Cause: CauseNoCookie}
@@ -90,22 +90,29 @@
 		// alive.
 		return Verdict{Cause: CauseUnknownCookie}
 	}
-	if p.Flags.Has(FlagRST) {
-		return Verdict{Action: ActionForward, Upstream: u}
+	v := Verdict{Action: ActionForward, Upstream: u}
+	if r == nil {
+		v.Cause = CauseRouteUnknown
 	}
-	f := &flow{
-		upstream: u, class: e.classOf(u.Route.Service, r), opened: true, lastPacket: now, placedAt: now, ack: p.Ack, next: p.Seq,
+	if p.Flags.Has(FlagRST) {
+		return v
 	}
 	if former := e.flows[p.Key]; former != nil {
 		e.forgetFlow(p.Key, former)
 	}
+	if r == nil && !e.trackUnrouted(p.Key, now) {
+		return v
+	}
+	f := &flow{
+		upstream: u, class: e.classOf(u.Route.Service, r), opened: true, lastPacket: now, placedAt: now, ack: p.Ack, next: p.Seq,
+	}
 	if tentative {
 		e.notePlacement(p.Key, u, p.Ack, now)
 	}
 	e.flows[p.Key] = f
 	u.addFlowRecords(1)
 	e.observe(f, p, r, now)
-	return Verdict{Action: ActionForward, Upstream: u}
+	return v
 }
 
 // decideUnknownCookie decides on a packet whose cookie names no known upstream. It resets the flow
--- a/internal/connection/cookie/flow.go
+++ b/internal/connection/cookie/flow.go
@@ -90,6 +90,9 @@
 // it may be open by now: this one saw all copies of its first packet and sent none to another upstream.
 func (f *flow) onlyPlacedHere(now time.Time) bool { return f.previous == nil && f.sawAllCopies(now) }
 
+// placedHere reports whether the flow's first packet arrived here.
+func (f *flow) placedHere() bool { return !f.lastCopyAt.IsZero() }
+
 // sawAllCopies reports whether all copies of the first packet that the caller can have sent arrived here.
 func (f *flow) sawAllCopies(now time.Time) bool {
 	if f.missesCopy {
@@ -167,7 +170,7 @@
 
 // observe updates the record from a packet of an established flow. Callers retransmit data that
 // isn't acknowledged after 200 ms, so a retransmission shows that the upstream was silent, and a
-// higher acknowledgement number shows that it wasn't.
+// higher acknowledgement number shows that it wasn't. r is nil if the flow's route isn't known.
 func (e *Engine) observe(f *flow, p *Packet, r *bundle.CallerRoute, now time.Time) {
 	f.lastPacket = now
 	if seqAfter(p.Ack, f.ack) {
--- a/internal/connection/cookie/pending.go
+++ b/internal/connection/cookie/pending.go
@@ -84,8 +84,8 @@
 
 // trackRequest queues a request that arrived now, if its route has an objective.
 func (e *Engine) trackRequest(f *flow, r *bundle.CallerRoute, now time.Time) {
-	if r.Objective > 0 {
-		e.waitQueues.add(f, suspicionDelay(r.Objective, e.typicalLatency[f.upstream.Route.Service.Name]), now)
+	if objective := objectiveOf(r); objective > 0 {
+		e.waitQueues.add(f, suspicionDelay(objective, e.typicalLatency[f.upstream.Route.Service.Name]), now)
 	}
 }
 
--- a/internal/connection/cookie/requests.go
+++ b/internal/connection/cookie/requests.go
@@ -42,7 +42,7 @@
 	if f.overdue {
 		counts.Unknown--
 	}
-	if r.Objective > 0 && took > r.Objective {
+	if objective := objectiveOf(r); objective > 0 && took > objective {
 		counts.Late++
 	} else {
 		counts.InTime++
@@ -52,6 +52,14 @@
 	e.opts.OnAnswered(took)
 }
 
+// objectiveOf returns the objective of a route, zero if it sets none or isn't known.
+func objectiveOf(r *bundle.CallerRoute) time.Duration {
+	if r == nil {
+		return 0
+	}
+	return r.Objective
+}
+
 // countFailed counts the pending request of a flow that ends as failed.
 func (e *Engine) countFailed(f *flow) {
 	if f.requestPending {
--- a/internal/process/cookiedaemon/advertisement.go
+++ b/internal/process/cookiedaemon/advertisement.go
@@ -142,6 +142,9 @@
 	if !lacksEvacuated {
 		d.confirmEvacuations(confirmed)
 	}
+	if lacksBundle {
+		d.engine.NoteNewerVersion(a.Bundle, now)
+	}
 	if !lacksList && !lacksBundle && !lacksEvacuated {
 		d.election.Received(confirmed, v.RanksBefore(a.From))
 		d.confirmBundleAt(confirmed, a.BundleAsOf)
--- a/internal/process/cookiedaemon/bundle.go
+++ b/internal/process/cookiedaemon/bundle.go
@@ -26,16 +26,14 @@
 
 func (d *Daemon) listBundles(s objects.Snapshot[bundle.Accepted], now time.Time) {
 	for i := range s.Objects {
-		if s.Objects[i].Err == nil {
-			d.applyStoredBundle(&s.Objects[i])
-		}
+		d.applyStoredBundle(&s.Objects[i])
 	}
 	d.confirmBundle(now, s.AsOf)
 }
 
 func (d *Daemon) changeBundles(ch objects.Changes[bundle.Accepted], now time.Time) {
 	for i := range ch.List {
-		if !ch.List[i].Deleted && ch.List[i].Object.Err == nil {
+		if !ch.List[i].Deleted {
 			d.applyStoredBundle(&ch.List[i].Object)
 		}
 	}
@@ -43,6 +41,10 @@
 }
 
 func (d *Daemon) applyStoredBundle(o *objects.Object[bundle.Accepted]) {
+	if o.Err != nil {
+		d.setUnusableBundle()
+		return
+	}
 	from := contentSource{source: "Store", name: o.Name}
 	d.applyBundle(o.Value.Version, from, func(now bundle.Accepted) (bundle.Accepted, *bundle.Update, error) {
 		return o.Value, updateFrom(now, o.Value), nil
@@ -90,6 +92,7 @@
 		routing := bundle.NewRouting(a.Version, a.Bundle, nil)
 		d.mu.Lock()
 		d.state.history.Add(a, step)
+		d.state.unusableBundle = false
 		resets := d.engine.SetRouting(routing, time.Now())
 		d.signalIfReady()
 		d.mu.Unlock()
@@ -135,11 +138,29 @@
 // copy, and no later update would ever apply.
 func (d *Daemon) refuseBundle(v bundle.Version, from contentSource, err error) {
 	klog.ErrorS(err, "Bundle refused", "Version", v, "Source", from.source, "Name", from.name)
+	d.setUnusableBundle()
 	if eris.Is(err, bundle.ErrUpdateMismatch) {
 		d.setNeedsWholeBundle(true)
 	}
 }
 
+// setUnusableBundle records that a bundle that may be newer than the one in force can't be used.
+func (d *Daemon) setUnusableBundle() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.state.unusableBundle = true
+}
+
+// noteNewerBundle records that another daemon has a bundle in force that this one has yet to receive.
+func (d *Daemon) noteNewerBundle(v bundle.Version, now time.Time) {
+	if v <= d.inForce.Version() {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.engine.NoteNewerVersion(v, now)
+}
+
 func (d *Daemon) setNeedsWholeBundle(needed bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -168,5 +189,8 @@
 // newest. d.mu must be held.
 func (d *Daemon) confirmBundleAt(at time.Time, asOf objects.Position) {
 	d.state.confirm(kindBundles, at)
+	if !d.state.unusableBundle {
+		d.engine.ConfirmRouting(at)
+	}
 	d.state.bundleAsOf = max(d.state.bundleAsOf, asOf)
 }
--- a/internal/process/cookiedaemon/http.go
+++ b/internal/process/cookiedaemon/http.go
@@ -85,6 +85,7 @@
 	countTransfers(count, "fescueshed_store_answers", &d.platform.Store.Counts.Answers)
 	count("fescueshed_log_lines_left_out_total", d.logs.leftOut.Load)
 	s.NewGauge("fescueshed_flows", func() float64 { return float64(d.flows()) })
+	s.NewGauge("fescueshed_flows_unrouted", func() float64 { return float64(d.unroutedFlows()) })
 	s.NewGauge("fescueshed_members", func() float64 { return float64(d.Members()) })
 	s.NewGauge("fescueshed_bundle_findings", func() float64 { return float64(d.bundleFindings.Load()) })
 	s.NewGauge("fescueshed_bundle_version", func() float64 { return float64(d.inForce.Version()) })
@@ -111,6 +112,12 @@
 	return s
 }
 
+func (d *Daemon) unroutedFlows() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.engine.UnroutedFlows()
+}
+
 // countInquiries adds the counters of ambiguous flows.
 func (d *Daemon) countInquiries(count func(string, func() uint64)) {
 	count("fescueshed_flows_ambiguous_total", func() uint64 {
--- a/internal/process/cookiedaemon/members.go
+++ b/internal/process/cookiedaemon/members.go
@@ -254,6 +254,7 @@
 	switch body := b[1:]; protocol(b[0]) {
 	case protocolMembership:
 		err = receive(m.swim, body, func(msg *peer.Message) {
+			m.daemon.noteNewerBundle(msg.Bundle, now)
 			m.update(func(g *peer.Membership) []peer.Envelope { return g.Receive(now, from, msg) })
 		})
 	case protocolAdvertisement:
--- a/internal/process/cookiedaemon/storestate.go
+++ b/internal/process/cookiedaemon/storestate.go
@@ -39,6 +39,8 @@
 	// needsWholeBundle and needsWholeList are set if updates from another daemon didn't lead to its
 	// bundle or its list.
 	needsWholeBundle, needsWholeList bool
+	// unusableBundle is set while a bundle that can't be used may be newer than the one in force.
+	unusableBundle bool
 	// confirmed is the time as of which each kind is known, or zero if it isn't known.
 	confirmed [numKinds]time.Time
 	// failedAt is when a call of the store last failed, or zero if one was answered since.
--- a/internal/process/flowtrace/trace.go
+++ b/internal/process/flowtrace/trace.go
@@ -85,12 +85,14 @@
 
 // causeMeanings explains each cause to an engineer on call.
 var causeMeanings = map[string]string{
-	"Placed":        "the flow was placed and no balancer ended it: check what its upstream's log says about the request",
-	"Spilled":       "the flow went to another zone: its own was at capacity or had no upstream; a partition between them breaks it",
-	"Repeated":      "a copy of the first packet went to the same upstream, which answered other callers: the first was lost",
-	"Silent":        "a copy of the first packet went to another upstream, since the first upstream showed no sign of life",
-	"Evacuated":     "a copy of the first packet came after the zone that it went to was evacuated; no request has run for it there",
-	"NoRoute":       "the bundle in force has no route for the address; no request has run unless the flow was open before",
+	"Placed":    "the flow was placed and no balancer ended it: check what its upstream's log says about the request",
+	"Spilled":   "the flow went to another zone: its own was at capacity or had no upstream; a partition between them breaks it",
+	"Repeated":  "a copy of the first packet went to the same upstream, which answered other callers: the first was lost",
+	"Silent":    "a copy of the first packet went to another upstream, since the first upstream showed no sign of life",
+	"Evacuated": "a copy of the first packet came after the zone that it went to was evacuated; no request has run for it there",
+	"NoRoute":   "the bundle in force has no route for the address; no request has run unless the flow was open before",
+	"RouteUnknown": "the bundle in force had no route for the address, but another host may have had one: an open flow went on by " +
+		"its cookie, a first packet was dropped until the newer bundle arrives",
 	"NoUpstream":    "no upstream of the service could take the flow; no request has run",
 	"Gone":          "the flow's upstream had deregistered or crashed; only its log says whether an open request ran",
 	"Dead":          "the flow's upstream didn't answer, or something else did at its address; its log says whether a request ran",
