flowtrace: the cause Ambiguous has a meaning

Symptom: fescueshed explain said of a held packet that its cause isn't known to this version. Cause: the cause was added to the balancer, not to the meanings.

--- a/internal/process/flowtrace/trace.go
+++ b/internal/process/flowtrace/trace.go
@@ -98,6 +98,7 @@
 	"Dead":          "the flow's upstream didn't answer, or something else did at its address; its log says whether a request ran",
 	"Restarted":     "the flow's upstream restarted under the same identifier and had no state of the flow",
 	"UnknownCookie": "this balancer didn't know the flow's upstream yet, or no longer; it resets the flow after 3 s",
+	"Ambiguous":     "two upstreams may have got its first packet: other hosts were asked at which one it opened; the packet waited",
 	"NoCookie":      "the packet isn't a first packet and names no upstream: the flow's first packet reached no balancer",
 	"StaleOpen":     "a first packet waited while the process was paused; its caller sends copies",
 	"Overload": "the flow's service was short of capacity and its caller wasn't in the share of its priority's callers that " +
