--- a/internal/process/cookiedaemon/probe.go
+++ b/internal/process/cookiedaemon/probe.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"net"
 	"net/http"
 	"sync"
@@ -90,15 +89,17 @@
 func (p *probes) connect(pr cookie.Probe, sent time.Time) cookie.ProbeResult {
 	a := &attempt{p: p, pr: pr, sent: sent, referenceDone: make(chan struct{})}
 	conn, err := p.dial(pr.Upstream, a.scheduleUnacceptedCheck)
-	switch {
-	case errors.Is(err, syscall.ECONNREFUSED):
+	switch outcome := outcomeOf(err); {
+	case err == nil:
+		return p.identify(conn, pr)
+	case outcome == dialAccepted:
+		return cookie.ProbeAlive
+	case outcome == dialRefused:
 		return cookie.ProbeRefused
-	case err != nil && a.referenceAccepts():
+	case outcome == dialSilent && a.referenceAccepts():
 		return cookie.ProbeTimeout
-	case err != nil:
-		return cookie.ProbeUnsure
 	}
-	return p.identify(conn, pr)
+	return cookie.ProbeUnsure
 }
 
 // attempt is one connection to a suspected upstream. If it isn't accepted for a while, a connection
@@ -129,16 +130,20 @@
 	})
 }
 
-// unaccepted reports whether a connection isn't accepted yet. It asks the operating system: on a
+// unaccepted reports whether a connection is neither accepted nor refused yet. It asks the operating system: on a
 // host that is short of CPU time, the process may not yet have handled a connection that was
 // accepted long ago, although it has already handled the later answer of a reference.
 func unaccepted(conn syscall.RawConn) bool {
 	pending := false
 	err := conn.Control(func(fd uintptr) {
-		_, err := unix.Getpeername(int(fd))
-		pending = errors.Is(err, unix.ENOTCONN)
+		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+		if err != nil {
+			return
+		}
+		// A connection that was accepted and then reset is closed too, but its round trip is known.
+		pending = info.State == unix.BPF_TCP_SYN_SENT || info.State == unix.BPF_TCP_CLOSE && info.Rtt == 0
 	})
-	return err == nil && pending // After another error the connection is closed: the attempt is over.
+	return err == nil && pending // After an error the connection is closed: the attempt is over.
 }
 
 // referenceAccepts reports whether the reference accepts a connection quickly. It connects only
@@ -182,7 +187,7 @@
 	return nd.DialContext(ctx, "tcp4", u.Address.String())
 }
 
-// acceptsQuickly reports whether an upstream accepts a connection in a fifth of the time that a
+// acceptsQuickly reports whether an upstream accepts a connection, and perhaps resets it then, in a fifth of the time that a
 // suspected one is given.
 func (p *probes) acceptsQuickly(u *bundle.UpstreamRoute) bool {
 	if u == nil {
@@ -190,10 +195,12 @@
 	}
 	began := time.Now()
 	conn, err := p.dial(u, nil)
-	if err != nil {
+	if outcomeOf(err) != dialAccepted {
 		return false
 	}
-	_ = conn.Close() // No data was sent.
+	if conn != nil {
+		_ = conn.Close() // No data was sent.
+	}
 	return time.Since(began) < time.Duration(p.daemon.cfg.Load().ProbeTimeout)/quickDivisor
 }
 
--- a/internal/process/cookiedaemon/probe_test.go
+++ b/internal/process/cookiedaemon/probe_test.go
@@ -29,3 +29,23 @@
 	g.Expect(c.Close()).To(Succeed())
 	g.Expect(unaccepted(raw)).To(BeFalse(), "it is closed")
 }
+
+// Guards against counting a connection as unaccepted that a full upstream accepted and reset, before the process has read that.
+func TestConnectionThatIsResetIsNotUnaccepted(t *testing.T) {
+	g := NewWithT(t)
+	l, err := net.ListenTCP("tcp4", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	g.Expect(err).NotTo(HaveOccurred())
+	t.Cleanup(func() { _ = l.Close() })
+	c, err := net.Dial("tcp4", l.Addr().String())
+	g.Expect(err).NotTo(HaveOccurred())
+	t.Cleanup(func() { _ = c.Close() })
+	raw, err := c.(*net.TCPConn).SyscallConn()
+	g.Expect(err).NotTo(HaveOccurred())
+	peer, err := l.AcceptTCP()
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(peer.SetLinger(0)).To(Succeed())
+	g.Expect(peer.Close()).To(Succeed())
+	_, err = c.Read(make([]byte, 1))
+	g.Expect(err).To(MatchError(syscall.ECONNRESET))
+	g.Expect(unaccepted(raw)).To(BeFalse())
+}
