--- a/internal/connection/cookie/flow.go
+++ b/internal/connection/cookie/flow.go
@@ -31,6 +31,8 @@
 	lastCopy   uint32
 	lastCopyAt time.Time
 	missesCopy bool
+	// openSeq is the sequence number of the flow's first packet, if that arrived here.
+	openSeq uint32
 	// placedAt is when this balancer added the record or moved the flow to its present upstream,
 	// lastPacket when the last packet arrived. A duplicate of the first packet doesn't count.
 	placedAt, lastPacket time.Time
@@ -61,7 +63,7 @@
 func newFlow(u *Upstream, class *admission.Counter, p *Packet, now time.Time) *flow {
 	return &flow{
 		upstream: u, class: class, placedAt: now, lastPacket: now, ack: p.Ack,
-		lastCopy: p.Copy, lastCopyAt: now, missesCopy: p.Copy > 0,
+		lastCopy: p.Copy, lastCopyAt: now, missesCopy: p.Copy > 0, openSeq: p.Seq,
 	}
 }
 
@@ -93,6 +95,22 @@
 // placedHere reports whether the flow's first packet arrived here.
 func (f *flow) placedHere() bool { return !f.lastCopyAt.IsZero() }
 
+// isReplacedBy reports whether a first packet opens another flow from the same port. While this one is open and in use, such
+// a packet is taken for a late one of the flow before.
+func (f *flow) isReplacedBy(p *Packet, now time.Time) bool {
+	inUse := f.opened && !f.closing && now.Sub(f.lastPacket) < openingLifetime
+	return !inUse && !f.isOpenedBy(p)
+}
+
+// isOpenedBy reports whether a first packet can be one of this flow. If none of them arrived here, that is any whose sequence
+// number can precede the flow's data.
+func (f *flow) isOpenedBy(p *Packet) bool {
+	if f.placedHere() {
+		return p.Seq == f.openSeq
+	}
+	return f.next-p.Seq < maxFlowBytes
+}
+
 // sawAllCopies reports whether all copies of the first packet that the caller can have sent arrived here.
 func (f *flow) sawAllCopies(now time.Time) bool {
 	if f.missesCopy {
--- a/internal/connection/cookie/open.go
+++ b/internal/connection/cookie/open.go
@@ -10,6 +10,11 @@
 // of it.
 func (e *Engine) decideFirst(p *Packet, r *bundle.CallerRoute, now time.Time) Verdict {
 	f := e.flows[p.Key]
+	if f != nil && f.isReplacedBy(p, now) {
+		e.countFailed(f)
+		e.forgetFlow(p.Key, f)
+		f = nil
+	}
 	if f == nil {
 		return e.place(p, r, now)
 	}
