--- a/internal/connection/cookie/warmup.go
+++ b/internal/connection/cookie/warmup.go
@@ -7,9 +7,9 @@
 )
 
 // WarmupLimiter returns how many new flows this balancer may send in any second to an upstream that
-// is slow after its start and can handle rate new flows a second from all balancers together.
+// is slow after its start, is in the given zone and can handle rate new flows a second from all balancers together.
 type WarmupLimiter interface {
-	Share(id bundle.UpstreamID, rate float64) int
+	Share(id bundle.UpstreamID, zone bundle.Zone, rate float64) int
 }
 
 // warmupWindow is the length of the sliding window in which flows to a slow upstream are counted.
@@ -41,7 +41,7 @@
 	if e.opts.WarmupLimiter == nil {
 		return false
 	}
-	return u.sendTimes.allows(e.opts.WarmupLimiter.Share(u.Route.ID, rate), now)
+	return u.sendTimes.allows(e.opts.WarmupLimiter.Share(u.Route.ID, u.Route.Zone, rate), now)
 }
 
 // recordWarmupFlow notes that a new flow is placed at an upstream, if its warm-up limits the number
--- a/internal/connection/cookie/warmup_test.go
+++ b/internal/connection/cookie/warmup_test.go
@@ -16,7 +16,7 @@
 // fixedShare is a WarmupLimiter that always allows the same number of flows a second.
 type fixedShare int
 
-func (f fixedShare) Share(bundle.UpstreamID, float64) int { return int(f) }
+func (f fixedShare) Share(bundle.UpstreamID, bundle.Zone, float64) int { return int(f) }
 
 // Guards against overloaded upstreams when the evacuation of a zone ends. Its upstreams have just
 // started and can handle a few requests a second each; requests beyond that are answered late or
--- a/internal/connection/peer/warmup.go
+++ b/internal/connection/peer/warmup.go
@@ -7,8 +7,9 @@
 )
 
 // WarmupLimiter says which members send flows to an upstream that is slow after its start and can
-// take only a few per second. They are a few members of its zone, selected by rendezvous hashing, so
-// all members together stay within the upstream's rate without communicating. Members whose views
+// take only a few per second. They are a few members of one zone, selected by rendezvous hashing, so
+// all members together stay within the upstream's rate without communicating. That zone is the
+// upstream's own; if it has no members, another one is selected in the same way. Members whose views
 // differ choose different senders; the bound leaves a margin for half as many more. It isn't safe
 // for concurrent use.
 type WarmupLimiter struct {
@@ -16,6 +17,9 @@
 	// lastSeen holds when each member of the zone was last present, alive how many are present now.
 	lastSeen map[ID]time.Time
 	alive    int
+	// zone is this daemon's zone, zoneSeen when a member of each zone was last present.
+	zone     bundle.Zone
+	zoneSeen map[bundle.Zone]time.Time
 	// maxAlive is the largest number of members that the zone had within zoneSizeWindow, maxAliveAt
 	// is when it last had as many.
 	maxAlive   int
@@ -43,7 +47,7 @@
 // NewWarmupLimiter returns the limiter of a daemon that knows the other members from the time
 // joined on.
 func NewWarmupLimiter(self ID, joined time.Time) *WarmupLimiter {
-	return &WarmupLimiter{self: self, joinedAt: joined, lastSeen: make(map[ID]time.Time)}
+	return &WarmupLimiter{self: self, joinedAt: joined, lastSeen: make(map[ID]time.Time), zoneSeen: make(map[bundle.Zone]time.Time)}
 }
 
 // Update processes a view. It must be called at least once a second.
@@ -58,17 +62,28 @@
 			delete(w.lastSeen, id)
 		}
 	}
+	for i := range v.Members {
+		w.zoneSeen[v.Members[i].Zone] = now
+		if v.Members[i].ID == v.Self {
+			w.zone = v.Members[i].Zone
+		}
+	}
+	for z, at := range w.zoneSeen {
+		if now.Sub(at) >= departureGrace {
+			delete(w.zoneSeen, z)
+		}
+	}
 	w.alive = len(zone)
 	if w.alive >= w.maxAlive || now.Sub(w.maxAliveAt) > zoneSizeWindow {
 		w.maxAlive, w.maxAliveAt = w.alive, now
 	}
 }
 
-// Share returns how many flows this daemon may send in any second to a slow upstream that can take
+// Share returns how many flows this daemon may send in any second to a slow upstream of a zone that can take
 // rate flows per second, zero if none. A daemon that is partitioned from half of its zone or more
 // sends none: the other side does, and both together would send twice the upstream's rate.
-func (w *WarmupLimiter) Share(id bundle.UpstreamID, rate float64) int {
-	if w.now.Before(w.joinedAt) || 2*w.alive <= w.maxAlive {
+func (w *WarmupLimiter) Share(id bundle.UpstreamID, zone bundle.Zone, rate float64) int {
+	if w.now.Before(w.joinedAt) || 2*w.alive <= w.maxAlive || w.sendingZone(id, zone) != w.zone {
 		return 0
 	}
 	all := max(1, int(rate))
@@ -84,3 +99,17 @@
 	}
 	return (all + n - 1 - before) / n
 }
+
+// sendingZone returns the zone whose members send to a slow upstream of a zone.
+func (w *WarmupLimiter) sendingZone(id bundle.UpstreamID, zone bundle.Zone) bundle.Zone {
+	if _, present := w.zoneSeen[zone]; present {
+		return zone
+	}
+	best := w.zone
+	for z := range w.zoneSeen {
+		if score(FlowHash(id), IDOf(string(z))) > score(FlowHash(id), IDOf(string(best))) {
+			best = z
+		}
+	}
+	return best
+}
--- a/internal/connection/peer/warmup_test.go
+++ b/internal/connection/peer/warmup_test.go
@@ -15,7 +15,7 @@
 // limiter is a way to share the rate of a slow upstream among members.
 type limiter interface {
 	Update(v *peer.View, now time.Time)
-	Share(id bundle.UpstreamID, rate float64) int
+	Share(id bundle.UpstreamID, zone bundle.Zone, rate float64) int
 }
 
 // equalShares gives each member of the zone the same share, at least one flow per second.
@@ -23,7 +23,7 @@
 
 func (e *equalShares) Update(v *peer.View, _ time.Time) { e.members = len(v.Members) }
 
-func (e *equalShares) Share(_ bundle.UpstreamID, rate float64) int {
+func (e *equalShares) Share(_ bundle.UpstreamID, _ bundle.Zone, rate float64) int {
 	return max(1, int(rate)/max(1, e.members))
 }
 
@@ -127,7 +127,7 @@
 			}
 		}
 		h.limiter.Update(peer.NewView(h.self, list, peer.Changes{}), start.Add(at))
-		h.share = h.limiter.Share(7, rate)
+		h.share = h.limiter.Share(7, "a", rate)
 	}
 	for len(h.sent) > 0 && at-h.sent[0] >= time.Second {
 		h.sent = h.sent[1:]
@@ -171,17 +171,47 @@
 		w := peer.NewWarmupLimiter(1, start.Add(-time.Hour))
 		all := []peer.Member{{ID: 1, Zone: "a"}, {ID: 2, Zone: "a"}, {ID: 3, Zone: "a"}, {ID: 4, Zone: "a"}}
 		w.Update(peer.NewView(1, all, peer.Changes{}), start)
-		Expect(w.Share(9, 40)).To(BeNumerically(">", 0))
+		Expect(w.Share(9, "a", 40)).To(BeNumerically(">", 0))
 		w.Update(peer.NewView(1, all[:2], peer.Changes{}), start.Add(time.Second))
-		Expect(w.Share(9, 40)).To(BeZero())
+		Expect(w.Share(9, "a", 40)).To(BeZero())
 		w.Update(peer.NewView(1, all[:2], peer.Changes{}), start.Add(2*time.Minute))
-		Expect(w.Share(9, 40)).To(BeNumerically(">", 0), "the others departed permanently")
+		Expect(w.Share(9, "a", 40)).To(BeNumerically(">", 0), "the others departed permanently")
 	})
 
 	It("send nothing while they don't know the others yet", func() {
 		start := time.Unix(1_000_000, 0)
 		w := peer.NewWarmupLimiter(1, start.Add(time.Second))
 		w.Update(peer.NewView(1, []peer.Member{{ID: 1, Zone: "a"}}, peer.Changes{}), start)
-		Expect(w.Share(9, 40)).To(BeZero())
+		Expect(w.Share(9, "a", 40)).To(BeZero())
 	})
 })
+
+// Guards against a slow upstream that gets its rate from the members of each zone, when all of them spill over.
+var _ = DescribeTable("Members of zones that send to a slow upstream stay within its rate", func(zones []bundle.Zone, each int) {
+	start := time.Unix(1_000_000, 0)
+	const rate = 12
+	all := make([]peer.Member, 0, each*len(zones))
+	for _, z := range zones {
+		for i := range each {
+			all = append(all, peer.Member{ID: peer.IDOf(fmt.Sprint(z, i)), Zone: z})
+		}
+	}
+	for id := range bundle.UpstreamID(50) {
+		sum := 0
+		for _, m := range all {
+			w := peer.NewWarmupLimiter(m.ID, start.Add(-time.Hour))
+			w.Update(peer.NewView(m.ID, all, peer.Changes{}), start)
+			n := w.Share(id, "a", rate)
+			if m.Zone != "a" && zones[0] == "a" {
+				Expect(n).To(BeZero())
+			}
+			sum += n
+		}
+		Expect(sum).To(And(BeNumerically(">", rate/2), BeNumerically("<=", rate)))
+	}
+},
+	Entry("of its own zone alone", []bundle.Zone{"a"}, 3),
+	Entry("of its own zone and others", []bundle.Zone{"a", "b", "c"}, 3),
+	Entry("of its own zone and others, many", []bundle.Zone{"a", "b", "c"}, 9),
+	Entry("of other zones, if its own has no members", []bundle.Zone{"b", "c"}, 3),
+)
