standin: callers use routes that were just added

The soak and the tests of the daemon knew callers of the routes of the first version only, so none saw that a host which lacks a route yet reset open flows (unknown-route).

--- a/cmd/soak/run.go
+++ b/cmd/soak/run.go
@@ -108,6 +108,7 @@
 		defer close(injected)
 		r.inject(work, c)
 	}()
+	go r.addRoutes(work, c.Duration)
 	stats, err := r.w.RunCallers(work)
 	<-injected
 	if err != nil {
@@ -158,6 +159,27 @@
 	return float64(n) / float64(max(1, len(list)))
 }
 
+// addRoutes adds routes in quick succession again and again, for a time or until ctx ends. Callers use each at once, while
+// hosts still receive it. It draws no random number, so that the faults of a seed stay the same.
+func (r *run) addRoutes(ctx context.Context, d time.Duration) {
+	until := time.Now().Add(d)
+	for n := 1; time.Now().Before(until) && ctx.Err() == nil; n++ {
+		r.w.AddRoute()
+		pause := addedRoutePause
+		if n%addedRoutesInARow == 0 {
+			pause = addedRoutesPause
+		}
+		time.Sleep(pause)
+	}
+}
+
+// addedRoutesInARow routes are added with addedRoutePause in between, then none for addedRoutesPause.
+const (
+	addedRoutesInARow = 8
+	addedRoutePause   = 250 * time.Millisecond
+	addedRoutesPause  = 2 * time.Second
+)
+
 // inject injects faults at random times for c.Duration, or until ctx ends. A fault that isn't a planned change
 // suspends the users' bounds for a time.
 func (r *run) inject(ctx context.Context, c *commands) {
--- a/internal/standin/flows/caller.go
+++ b/internal/standin/flows/caller.go
@@ -19,15 +19,17 @@
 type CallerOptions struct {
 	IP netip.Addr
 	// Port is the UDP port on which all callers receive datagrams.
-	Port       uint16
-	Service    netip.AddrPort
-	Idempotent bool
-	Period     time.Duration
-	Deadline   time.Duration
-	Retries    int
-	Router     *Router
-	Codec      Codec
-	Rng        *rand.Rand
+	Port    uint16
+	Service netip.AddrPort
+	// PickService returns the address for each new flow in place of Service, if it is set.
+	PickService func() netip.AddrPort
+	Idempotent  bool
+	Period      time.Duration
+	Deadline    time.Duration
+	Retries     int
+	Router      *Router
+	Codec       Codec
+	Rng         *rand.Rand
 	// FlowPerRequest opens a new flow for each request.
 	FlowPerRequest bool
 	// MayAnswer reports whether a service may answer on a flow that was opened at a time.
@@ -211,6 +213,9 @@
 // connect opens a flow from a new port and reports whether it succeeded.
 func (c *Caller) connect() bool {
 	c.port++
+	if c.PickService != nil {
+		c.Service = c.PickService()
+	}
 	c.seq, c.cookie = c.Rng.Uint32(), 0
 	c.opened = time.Now()
 	first := &Segment{Flags: cookie.FlagSYN, Seq: c.seq}
--- a/internal/standin/world/bundles.go
+++ b/internal/standin/world/bundles.go
@@ -46,6 +46,9 @@
 		urgent.Priority = urgentPriority
 		b.Routes = append(b.Routes, urgent)
 	}
+	for i := range w.addedRoutes {
+		b.Routes = append(b.Routes, route(fmt.Sprint("added-", i), addedAddress(i), ServiceSheets))
+	}
 	for i := range w.idleRoutes {
 		at := netip.AddrFrom4([4]byte{198, idleNet, byte(i >> 8), byte(i)})
 		b.Routes = append(b.Routes, route(w.idleRouteName(i), netip.AddrPortFrom(at, idlePort), ServiceSheets))
@@ -85,6 +88,30 @@
 	return w.idleRoutes
 }
 
+// AddRoute writes a version of the bundle with one more route, which callers use at once.
+func (w *World) AddRoute() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.addedRoutes++
+	w.version++
+	w.writeBundle()
+}
+
+// NewestAddress returns the address of the route that AddRoute added last, or that of the first route to the same service.
+func (w *World) NewestAddress() netip.AddrPort {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.addedRoutes == 0 {
+		return sheetsAddress
+	}
+	return addedAddress(w.addedRoutes - 1)
+}
+
+// addedAddress returns the address of the ith route that AddRoute adds.
+func addedAddress(i int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{198, addedNet, byte(i >> 8), byte(i)}), idlePort)
+}
+
 func route(name string, at netip.AddrPort, service string) bundle.Route {
 	return bundle.Route{
 		Name: name, Address: at, Targets: []bundle.Target{{Service: service, Weight: 1}},
--- a/internal/standin/world/callers.go
+++ b/internal/standin/world/callers.go
@@ -44,6 +44,9 @@
 		o.Service, o.MayAnswer = feedAddress, onlyService(ServiceFeed)
 	case 2:
 		o.Service, o.MayAnswer = sheetsAddress, onlyService(ServiceSheets)
+		if !w.opts.Admission {
+			o.PickService, o.FlowPerRequest = w.NewestAddress, i%8 == 2
+		}
 	case 3:
 		o.Service, o.MayAnswer, o.FlowPerRequest = switchAddress, w.MayServe, true
 	}
--- a/internal/standin/world/world.go
+++ b/internal/standin/world/world.go
@@ -31,6 +31,8 @@
 	// the relays in front of them.
 	upstreamNet = 2
 	relayNet    = 3
+	// addedNet is the second byte of the addresses of routes that AddRoute adds.
+	addedNet = 20
 	// idleNet is the second byte of the addresses of routes that no caller uses.
 	idleNet        = 19
 	idlePort       = 443
@@ -106,10 +108,10 @@
 	unstableUntil time.Time
 	// switchService is the service that the switching route leads to.
 	switchService string
-	// idleRoutes is the number of routes in the bundle that no caller uses.
-	idleRoutes  int
-	evacuations []*evacuation
-	shortages   []shortage
+	// idleRoutes is the number of routes in the bundle that no caller uses, addedRoutes that of those added by AddRoute.
+	idleRoutes, addedRoutes int
+	evacuations             []*evacuation
+	shortages               []shortage
 	// logs is the directory with the logs of the processes, empty before StartProcesses.
 	logs string
 }
