cookie: an old finding that an upstream is dead is checked before a flow is reset

Cause: a host without a record of a flow resets it if it holds the flow's upstream for dead. One that isn't registered is probed only while flows lead to it, so the finding was up to a minute old. If the upstream has started again under its identifier, and its registration hasn't arrived here, the flow is open.

Change: if such a finding is older than a second, the flow gets a record, which makes the upstream be probed at once, and the probe decides. While flows lead to it, or for a second after, callers are reset at once, as before.

--- a/internal/connection/cookie/established.go
+++ b/internal/connection/cookie/established.go
@@ -82,7 +82,7 @@
 		}
 		u = to
 	}
-	if u.health == HealthDead {
+	if u.health == HealthDead && !u.isDeadFindingStale(now) {
 		return resetVerdict(p, deadCause(u))
 	}
 	if !u.Route.Address.IsValid() {
@@ -109,6 +109,10 @@
 	if tentative {
 		e.notePlacement(p.Key, u, p.Ack, now)
 	}
+	if u.health == HealthDead {
+		// The probe that is due now decides.
+		u.suspect(now)
+	}
 	e.flows[p.Key] = f
 	u.addFlowRecords(1)
 	e.observe(f, p, r, now)
--- a/internal/connection/cookie/upstream.go
+++ b/internal/connection/cookie/upstream.go
@@ -113,6 +113,8 @@
 	outcomes     outcomes
 	ejectedUntil time.Time
 	ejections    int
+	// foundDeadAt is when the upstream was last found dead.
+	foundDeadAt time.Time
 	// refusedOnce is set if the last probe of a draining upstream was refused.
 	refusedOnce bool
 }
@@ -123,6 +125,12 @@
 	return !now.Before(u.ejectedUntil) && u.usable()
 }
 
+// isDeadFindingStale reports whether the upstream may have started again since it was found dead. A registered one is probed
+// all the while, one that isn't registered only while flows lead to it.
+func (u *Upstream) isDeadFindingStale(now time.Time) bool {
+	return !u.registered && now.Sub(u.foundDeadAt) >= reprobeInterval
+}
+
 // hasUsableRegistration reports whether the upstream is registered by an entry that can be used.
 func (u *Upstream) hasUsableRegistration() bool {
 	return u.registered && !u.registration.Unusable && u.mismatched == nil
@@ -264,6 +272,9 @@
 			u.nextProbe = now
 		}
 	}
+	if u.health == HealthDead {
+		u.foundDeadAt = now
+	}
 	u.index.update(u)
 	return before != HealthDead && u.health == HealthDead
 }
--- a/internal/connection/cookie/zonehealth.go
+++ b/internal/connection/cookie/zonehealth.go
@@ -164,6 +164,7 @@
 	for _, s := range silent {
 		found = append(found, s.Route.ID)
 		s.nextProbe = now.Add(reprobeInterval)
+		s.foundDeadAt = now
 		s.setHealth(HealthDead)
 		dead[s] = true
 	}
