--- a/internal/process/cookiedaemon/probe.go
+++ b/internal/process/cookiedaemon/probe.go
@@ -130,7 +130,7 @@
 	})
 }
 
-// unaccepted reports whether a connection is neither accepted nor refused yet. It asks the operating system: on a
+// unaccepted reports whether a connection was never accepted, as far as the operating system knows: on a
 // host that is short of CPU time, the process may not yet have handled a connection that was
 // accepted long ago, although it has already handled the later answer of a reference.
 func unaccepted(conn syscall.RawConn) bool {
