cookie: copies of a first packet that come together go to one upstream

In its logs no host resets an established packet, so a second upstream must have; 38 flows had been offered to two.

Cause: a copy of a first packet counts as a sign that the upstream left the first one unanswered, even if both were handled at the same moment, since they waited together on the way (the stand-ins stood still for 0.7 s).

Evidence: in 37 of the 38 flows, the copies for the two upstreams came to one host within 12 ms. That the broken flow is one of them isn't shown; its record was overwritten.

TestCopiesThatWaitedTogetherGoToOneUpstream failed before in two of four cases.

--- a/internal/connection/cookie/open.go
+++ b/internal/connection/cookie/open.go
@@ -26,6 +26,10 @@
 		return Verdict{Action: ActionForward, Cause: CauseRepeated, Upstream: f.upstream}
 	}
 	f.noteCopy(p.Copy, now)
+	if now.Sub(f.placedAt) < copyTransit {
+		// The copies were delayed together, so the upstream had no time to answer. A second upstream would answer too.
+		return Verdict{Action: ActionForward, Cause: CauseRepeated, Upstream: f.upstream}
+	}
 	// An upstream that answers other flows only lost a packet of this one. Any other may be dead or
 	// at capacity, and waiting for a second retransmission would cost 400 ms more. If no upstream
 	// at all is seen, the fault may be on this host's side, and another upstream would be as
--- a/internal/connection/cookie/unopened_test.go
+++ b/internal/connection/cookie/unopened_test.go
@@ -1,6 +1,7 @@
 package cookie_test
 
 import (
+	"testing"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -68,3 +69,35 @@
 		Expect(v.Cause).To(Equal(cookie.CauseNoRoute))
 	})
 })
+
+// Guards against two upstreams that answer the same caller, since copies of its first packet waited together, on the way or in
+// this host's socket, and were handled one right after the other.
+func TestCopiesThatWaitedTogetherGoToOneUpstream(t *testing.T) {
+	RegisterTestingT(t)
+	for name, tc := range map[string]struct {
+		after time.Duration
+		same  bool
+	}{
+		"at once":                           {after: 20 * time.Microsecond, same: true},
+		"while the upstream may answer":     {after: 49 * ms, same: true},
+		"after a time without an answer":    {after: 50 * ms},
+		"as its caller sends them, in time": {after: 400 * ms},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			e := newEngine(registrations(3))
+			c := newCaller(1, feedAt)
+			now := start.Add(time.Second)
+			u := e.Decide(c.first(1), now).Upstream
+			now = now.Add(tc.after)
+			// Another upstream was seen: the fault isn't on this host's side.
+			other := newCaller(2, feedAt)
+			for n := 3; e.Decide(other.first(0), now).Upstream == u; n++ {
+				other = newCaller(n, feedAt)
+			}
+			other.receiveAnswer(e.Decide(other.first(0), now).Upstream)
+			e.Decide(other.ackPacket(1), now)
+			g.Expect(e.Decide(c.first(2), now).Upstream == u).To(Equal(tc.same))
+		})
+	}
+}
